--- a/cmd/chicoryturn/main.go
+++ b/cmd/chicoryturn/main.go
@@ -83,7 +83,7 @@
 	p := flaggy.DefaultParser
 	p.ShowHelpOnUnexpected = true
 	cmds := []*command{
-		gateCommand(), schedCommand(), demoCommand(), rulesCommand(), keyCommand(), jobCommand(),
+		gateCommand(), schedCommand(), nodeCommand(), demoCommand(), rulesCommand(), keyCommand(), jobCommand(),
 		statusCommand(), dumpCommand(), chartCommand(), helpCommand(), versionCommand(),
 	}
 	for _, c := range cmds {
--- /dev/null
+++ b/core/board/board.go
@@ -0,0 +1,313 @@
+// Package board decides on all jobs and workers of the fleet under one owner.
+// The owner calls it from one goroutine; time enters as a value, and orders to
+// workers, questions about placement and records leave as values.
+package board
+
+import (
+	"time"
+
+	"chicoryturn/core"
+	"chicoryturn/core/cell"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
+)
+
+const (
+	// runShift leaves room for the runs of one task below an owner's epoch, so
+	// that numbers grow over owners. The first owner's runs begin at 1.
+	runShift = 20
+	// batchRows bounds the rows of one record; the platform takes 100 entries a
+	// transaction, and the owner's own row is one of them.
+	batchRows = 90
+	// closedJobs bounds the ended jobs that are kept to answer questions.
+	closedJobs = 20000
+)
+
+// Limits are the figures of the fleet that bound the board's decisions.
+type Limits struct {
+	// Lease is the longest time for which a worker goes on without contact.
+	Lease time.Duration
+	// Gang is how long a gang's tasks wait for one another.
+	Gang time.Duration
+	// Remote multiplies run times away from a phase's rack.
+	Remote float64
+}
+
+// Board is the state of the fleet under one owner.
+type Board struct {
+	epoch  core.Epoch
+	now    time.Time
+	limits Limits
+	policy *policy.Policy
+	guess  *cell.Guess
+
+	jobs    map[core.JobID]*Job
+	workers map[core.WorkerID]*Worker
+	// byName holds the workers sorted by name, so that decisions repeat.
+	byName []*Worker
+	// open holds the phases that have waiting tasks and may start.
+	open map[*unit]struct{}
+	// timed holds the phases of occurrences that are not due yet.
+	timed map[*unit]struct{}
+	// used is what each team holds on workers or may hold on workers that have
+	// not been heard of.
+	used map[core.Team]core.Resources
+	// held are the recovered tasks that may run on a worker not heard of yet.
+	held map[*Task]struct{}
+	// began is when the owner took over.
+	began time.Time
+	// settled is set once every worker of earlier owners has been heard of.
+	settled bool
+
+	// dirty are the jobs whose progress waits for a record, flying those in the
+	// record whose outcome is not known.
+	dirty  map[core.JobID]*Job
+	flying []flown
+	// changes numbers the changes of progress. Those up to confirmed are in the
+	// store, those up to mark will be once the record in flight is.
+	changes, mark, confirmed uint64
+	closed                   []core.JobID
+
+	orders   []Order
+	notes    []Note
+	refusals []error
+	counts   Counts
+	seq      uint64
+	changed  bool
+}
+
+// flown is a job in a record and the state that the record gives it.
+type flown struct {
+	job   *Job
+	state jobs.State
+}
+
+// Counts are running totals for metrics.
+type Counts struct {
+	Starts, Refused, Unanswered, Ends, Failures, Cuts, Lapses, Stops, Asks uint64
+}
+
+// Note is one decision for the log.
+type Note struct {
+	Job     core.JobID
+	What    string
+	Worker  core.WorkerID
+	Task    string
+	Run     uint64
+	Wait    time.Duration
+	Because string
+}
+
+// New returns an empty board under a new owner's epoch.
+func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy) *Board {
+	return &Board{
+		epoch: epoch, now: now, began: now, limits: limits, policy: p, guess: cell.NewGuess(),
+		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{},
+		open: map[*unit]struct{}{}, timed: map[*unit]struct{}{},
+		used: map[core.Team]core.Resources{}, held: map[*Task]struct{}{}, dirty: map[core.JobID]*Job{},
+	}
+}
+
+// Epoch returns the owner's epoch.
+func (b *Board) Epoch() core.Epoch { return b.epoch }
+
+// Counts returns the running totals.
+func (b *Board) Counts() Counts { return b.counts }
+
+// SetPolicy follows a newer configuration.
+func (b *Board) SetPolicy(p *policy.Policy) {
+	b.policy = p
+	b.changed = true
+}
+
+// Notes returns and forgets the decisions since the last call.
+func (b *Board) Notes() []Note {
+	out := b.notes
+	b.notes = nil
+	return out
+}
+
+// Refusals returns and forgets the events that a chart refused.
+func (b *Board) Refusals() []error {
+	out := b.refusals
+	b.refusals = nil
+	return out
+}
+
+func (b *Board) refuse(err error) {
+	if err != nil {
+		b.refusals = append(b.refusals, err)
+	}
+}
+
+// Orders returns and forgets the calls to workers decided since the last call.
+func (b *Board) Orders() []Order {
+	out := b.orders
+	b.orders = nil
+	return out
+}
+
+// Accept takes in a job that is in the store. It reports whether it is new.
+func (b *Board) Accept(now time.Time, spec jobs.Spec) bool {
+	b.now = now
+	if b.jobs[spec.ID] != nil {
+		return false
+	}
+	b.add(spec).openUnits()
+	return true
+}
+
+// Load takes over the recorded jobs. Unless the owner is the first one, every
+// open task may still run somewhere.
+func (b *Board) Load(now time.Time, specs []jobs.Spec, progress map[core.JobID]jobs.Progress) {
+	b.now = now
+	for _, s := range specs {
+		p := progress[s.ID]
+		if b.jobs[s.ID] != nil {
+			continue
+		}
+		b.add(s).restore(&p)
+	}
+	b.settled = b.epoch <= 1
+	for _, j := range b.jobs {
+		if !j.ended() && !b.settled {
+			for _, t := range j.tasks {
+				t.fire(taskRecover)
+			}
+		}
+		j.openUnits()
+		j.settle()
+	}
+}
+
+// Cancel ends a job whose cancellation is in the store. It reports whether the
+// job is known.
+func (b *Board) Cancel(now time.Time, id core.JobID) bool {
+	b.now = now
+	j := b.jobs[id]
+	if j == nil {
+		return false
+	}
+	if !j.ended() {
+		j.progress.State = jobs.Cancelled
+		j.fire(jobCancel)
+		j.touch()
+	}
+	return true
+}
+
+// State returns how a job is shown to its client, if it is known.
+func (b *Board) State(id core.JobID) (jobs.State, bool) {
+	j := b.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.shown(), true
+}
+
+// Pending returns how many jobs of each queue have not started any task and
+// are due.
+func (b *Board) Pending() map[core.Queue]int {
+	out := map[core.Queue]int{}
+	for _, j := range b.jobs {
+		if j.state == jobQueued {
+			out[j.Spec.Queue]++
+		}
+	}
+	return out
+}
+
+// Batch returns the progress to record next, and nothing while an earlier
+// record is in flight.
+func (b *Board) Batch() []jobs.Progress {
+	if b.flying != nil || len(b.dirty) == 0 {
+		return nil
+	}
+	var rows []jobs.Progress
+	for id, j := range b.dirty {
+		if len(rows) == batchRows {
+			break
+		}
+		rows = append(rows, j.progress.Clone())
+		b.flying = append(b.flying, flown{j, j.progress.State})
+		delete(b.dirty, id)
+	}
+	if len(b.dirty) == 0 {
+		b.mark = b.changes
+	}
+	return rows
+}
+
+// Recorded follows a record that is in the store.
+func (b *Board) Recorded(now time.Time) {
+	b.now = now
+	for _, f := range b.flying {
+		if f.state != "" && f.job.state == jobClosing {
+			f.job.fire(jobRecorded)
+			b.closed = append(b.closed, f.job.Spec.ID)
+		}
+	}
+	b.flying = nil
+	b.confirmed = b.mark
+	for len(b.closed) > closedJobs {
+		b.forget(b.closed[0])
+		b.closed = b.closed[1:]
+	}
+}
+
+// Returned puts a record back that surely is not in the store.
+func (b *Board) Returned() {
+	for _, f := range b.flying {
+		b.dirty[f.job.Spec.ID] = f.job
+	}
+	b.flying = nil
+	b.mark = b.confirmed
+}
+
+func (b *Board) forget(id core.JobID) {
+	if j := b.jobs[id]; j != nil && j.live == 0 {
+		delete(b.jobs, id)
+	}
+}
+
+func (b *Board) take(team core.Team, r core.Resources) { b.used[team] = b.used[team].Add(r) }
+
+func (b *Board) give(team core.Team, r core.Resources) {
+	b.used[team] = b.used[team].Sub(r)
+	b.changed = true
+}
+
+// task returns a task by its name.
+func (b *Board) task(id jobs.TaskID) *Task {
+	j := b.jobs[id.Job]
+	if j == nil || id.Phase >= len(j.Spec.Phases) || id.Occurrence >= j.Spec.Occurrences() {
+		return nil
+	}
+	u := j.units[id.Occurrence*len(j.Spec.Phases)+id.Phase]
+	if id.Index >= len(u.tasks) {
+		return nil
+	}
+	return u.tasks[id.Index]
+}
+
+// Settled reports whether every worker that an earlier owner may have used has
+// been heard of.
+func (b *Board) Settled() bool { return b.settled }
+
+// settle frees the recovered tasks once every worker has been heard of: what
+// no worker has reported runs nowhere.
+func (b *Board) settle() {
+	if b.settled {
+		return
+	}
+	for _, w := range b.byName {
+		if w.state == workerFresh {
+			return
+		}
+	}
+	b.settled = true
+	for t := range b.held {
+		t.fire(taskClear)
+	}
+	b.changed = true
+}
--- /dev/null
+++ b/core/board/charts.go
@@ -0,0 +1,90 @@
+package board
+
+import (
+	_ "embed"
+
+	"chicoryturn/core/chart"
+)
+
+//go:embed task.toml
+var taskText []byte
+
+//go:embed job.toml
+var jobText []byte
+
+//go:embed worker.toml
+var workerText []byte
+
+// The charts and their names are bound in init, as the actions use them in turn.
+var (
+	taskChart   *chart.Machine[*Task]
+	jobChart    *chart.Machine[*Job]
+	workerChart *chart.Machine[*Worker]
+
+	taskRecover, taskClear, taskFound, taskPlace, taskAccepted, taskRefused, taskUnanswered chart.Event
+	taskStop, taskEndDone, taskEndFailed, taskCut, taskDrop, taskRestore                    chart.Event
+
+	taskWaiting, taskHeld, taskStarting, taskDoubtful, taskRunning, taskStopping, taskLeaving, taskDone, taskDropped chart.State
+
+	jobBegin, jobComplete, jobFail, jobCancel, jobRestore, jobRecorded chart.Event
+	jobQueued, jobRunning, jobClosing, jobClosed                       chart.State
+
+	workerAnswer, workerMiss, workerLapse, workerVanish             chart.Event
+	workerFresh, workerLive, workerSilent, workerLapsed, workerGone chart.State
+)
+
+func init() {
+	taskChart = chart.Must(chart.Load(taskText, nil, map[string]chart.Action[*Task]{
+		"hold":    (*Task).hold,
+		"unhold":  (*Task).unhold,
+		"reserve": (*Task).reserve,
+		"release": (*Task).release,
+		"begin":   (*Task).begin,
+		"halt":    (*Task).halt,
+		"finish":  (*Task).finish,
+		"count":   (*Task).count,
+	}))
+	for name, ev := range map[string]*chart.Event{
+		"recover": &taskRecover, "clear": &taskClear, "found": &taskFound, "place": &taskPlace,
+		"accepted": &taskAccepted, "refused": &taskRefused, "unanswered": &taskUnanswered, "stop": &taskStop,
+		"done": &taskEndDone, "failed": &taskEndFailed, "cut": &taskCut, "drop": &taskDrop, "restore": &taskRestore,
+	} {
+		*ev = taskChart.Event(name)
+	}
+	for name, st := range map[string]*chart.State{
+		"waiting": &taskWaiting, "held": &taskHeld, "starting": &taskStarting, "doubtful": &taskDoubtful,
+		"running": &taskRunning, "stopping": &taskStopping, "leaving": &taskLeaving, "done": &taskDone, "dropped": &taskDropped,
+	} {
+		*st = taskChart.State(name)
+	}
+
+	jobChart = chart.Must(chart.Load(jobText, nil, map[string]chart.Action[*Job]{"drop": (*Job).drop}))
+	for name, ev := range map[string]*chart.Event{
+		"begin": &jobBegin, "complete": &jobComplete, "fail": &jobFail, "cancel": &jobCancel,
+		"restore": &jobRestore, "recorded": &jobRecorded,
+	} {
+		*ev = jobChart.Event(name)
+	}
+	for name, st := range map[string]*chart.State{
+		"queued": &jobQueued, "running": &jobRunning, "closing": &jobClosing, "closed": &jobClosed,
+	} {
+		*st = jobChart.State(name)
+	}
+
+	workerChart = chart.Must(chart.Load(workerText, nil, map[string]chart.Action[*Worker]{"cut": (*Worker).cut}))
+	for name, ev := range map[string]*chart.Event{
+		"answer": &workerAnswer, "miss": &workerMiss, "lapse": &workerLapse, "vanish": &workerVanish,
+	} {
+		*ev = workerChart.Event(name)
+	}
+	for name, st := range map[string]*chart.State{
+		"fresh": &workerFresh, "live": &workerLive, "silent": &workerSilent, "lapsed": &workerLapsed, "gone": &workerGone,
+	} {
+		*st = workerChart.State(name)
+	}
+}
+
+// Draw returns the charts of tasks, jobs and workers as text, by name.
+func Draw() map[string]string {
+	return map[string]string{"run": taskChart.Draw(), "work": jobChart.Draw(), "lease": workerChart.Draw()}
+}
--- /dev/null
+++ b/core/board/place.go
@@ -0,0 +1,377 @@
+package board
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"chicoryturn/core"
+	"chicoryturn/core/jobs"
+)
+
+const (
+	// slowWeight is what a worker's learned slowness counts against the share
+	// of its cores that a placement leaves free.
+	slowWeight = 0.5
+	// noBound stands for a phase without a bound on tasks per worker.
+	noBound = math.MaxInt
+	// tick is the longest pause between two looks at leases and due times.
+	tick = 100 * time.Millisecond
+)
+
+// Plan follows the passing of time: it renews leases, repeats stops and places
+// what fits. It returns when to be called next.
+func (b *Board) Plan(now time.Time) time.Time {
+	b.now = now
+	for u := range b.timed {
+		if !u.job.Spec.Due(u.id.Occurrence).After(now) {
+			u.open()
+		}
+	}
+	b.holds()
+	b.stops()
+	if b.changed {
+		b.changed = false
+		b.place()
+	}
+	return now.Add(tick)
+}
+
+// standing is the order in which work is served.
+type standing struct {
+	unit *unit
+	// tardy is 0 while the job can end on time, 1 while its end is worth
+	// something, 2 after that.
+	tardy    int
+	priority int
+	latest   time.Time
+}
+
+// ranked returns the open phases, those to be served first in front: work that
+// can still be on time before work that is late, then by the queue's priority,
+// then by the latest start that keeps what is owed.
+func (b *Board) ranked() []*unit {
+	list := make([]standing, 0, len(b.open))
+	for u := range b.open {
+		if u.idle == 0 {
+			continue
+		}
+		s := standing{unit: u}
+		onTime, late := u.job.due()
+		left := b.remaining(u)
+		switch {
+		case !b.now.Add(left).After(onTime):
+		case !b.now.Add(left).After(late):
+			s.tardy = 1
+		default:
+			s.tardy = 2
+		}
+		s.latest = onTime.Add(-left)
+		if q := b.policy.Queues[u.job.Spec.Queue]; q != nil {
+			s.priority = q.Priority
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(x, y standing) int {
+		return cmp.Or(cmp.Compare(x.tardy, y.tardy), cmp.Compare(x.priority, y.priority),
+			x.latest.Compare(y.latest), cmp.Compare(x.unit.job.seq, y.unit.job.seq), cmp.Compare(x.unit.base, y.unit.base))
+	})
+	out := make([]*unit, len(list))
+	for i, s := range list {
+		out[i] = s.unit
+	}
+	return out
+}
+
+// remaining is the expected time from the start of a phase to the end of its
+// job, along the longest chain.
+func (b *Board) remaining(u *unit) time.Duration {
+	phases := u.job.Spec.Phases
+	tail := make([]time.Duration, len(phases))
+	for i := len(phases) - 1; i >= u.id.Phase; i-- {
+		tail[i] += b.guess.Predict(u.job.Spec.Queue, phases[i].Estimate)
+		for _, a := range phases[i].After {
+			tail[a] = max(tail[a], tail[i])
+		}
+	}
+	return tail[u.id.Phase]
+}
+
+// startable reports whether the phase has tasks that may be placed now; a gang
+// waits until nothing is left of its last run.
+func (u *unit) startable() bool {
+	if u.phase.Gang {
+		return u.idle == u.phase.Count && u.live == 0
+	}
+	return u.idle > 0
+}
+
+// suits reports whether the phase may run on a worker at all.
+func (u *unit) suits(w *Worker) bool {
+	b := u.job.board
+	if !w.usable() || !u.need().Fits(w.host.Room) {
+		return false
+	}
+	if q := b.policy.Queues[u.job.Spec.Queue]; q == nil || q.Service != w.host.Service {
+		return false
+	}
+	return u.phase.Label == "" || slices.Contains(w.host.Labels, u.phase.Label)
+}
+
+// slots returns how many tasks of the phase fit into what a worker has free.
+func (u *unit) slots(w *Worker, need, free core.Resources) int {
+	n := noBound
+	if u.phase.PerWorker > 0 {
+		n = u.phase.PerWorker - w.countOf(u)
+	}
+	for _, d := range [][2]int64{{need.Cores, free.Cores}, {need.Memory, free.Memory}, {need.Accel, free.Accel}} {
+		if d[0] > 0 {
+			n = min(n, int(d[1]/d[0]))
+		}
+	}
+	return max(n, 0)
+}
+
+func (w *Worker) countOf(u *unit) int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.unit == u {
+			n++
+		}
+	}
+	for _, s := range w.strays {
+		if s.task.PhaseID == u.id {
+			n++
+		}
+	}
+	return n
+}
+
+// withinLimit reports whether a team may run n more tasks.
+func (b *Board) withinLimit(u *unit, need core.Resources, n int) bool {
+	t := b.policy.Teams[u.job.Spec.Team]
+	if t == nil {
+		return true
+	}
+	after := b.used[u.job.Spec.Team]
+	for _, d := range [][3]int64{
+		{need.Cores, after.Cores, t.Limit.Cores}, {need.Memory, after.Memory, t.Limit.Memory}, {need.Accel, after.Accel, t.Limit.Accel},
+	} {
+		if d[2] > 0 && d[0] > 0 && d[1]+int64(n)*d[0] > d[2] {
+			return false
+		}
+	}
+	return true
+}
+
+// seat is a worker that a phase may use now.
+type seat struct {
+	worker *Worker
+	ticket string
+	// slots is how many tasks still fit.
+	slots int
+	score float64
+}
+
+// seats returns the workers with room for the phase, the best first.
+func (u *unit) seats() []seat {
+	b := u.job.board
+	need := u.need()
+	_, advised := u.policy().Get()
+	var out []seat
+	for _, w := range b.byName {
+		ticket := ""
+		if advised {
+			t, ok := u.advice.allowed[w.id]
+			if !ok || !b.now.Add(ticketSlack).Before(t.until) {
+				continue
+			}
+			ticket = t.text
+		}
+		if !u.suits(w) {
+			continue
+		}
+		if n := u.slots(w, need, w.free); n > 0 {
+			out = append(out, seat{w, ticket, n, u.score(w, need)})
+		}
+	}
+	slices.SortStableFunc(out, func(x, y seat) int { return cmp.Compare(x.score, y.score) })
+	return out
+}
+
+// score is lowest for the best worker: one that the task fills best, that is
+// fast, and that is near the data.
+func (u *unit) score(w *Worker, need core.Resources) float64 {
+	room := max(w.host.Room.Cores, 1)
+	s := float64(w.free.Cores-need.Cores)/float64(room) + slowWeight*w.slow
+	if u.phase.Rack != "" && u.phase.Rack != w.host.Rack {
+		s += u.job.board.limits.Remote
+	}
+	return s
+}
+
+// place starts what fits.
+func (b *Board) place() {
+	for _, u := range b.ranked() {
+		if !u.startable() || !b.withinLimit(u, u.need(), u.least()) {
+			continue
+		}
+		if u.phase.Gang {
+			b.placeGang(u)
+		} else {
+			b.placeEach(u)
+		}
+	}
+}
+
+// placeEach starts as many waiting tasks as fit.
+func (b *Board) placeEach(u *unit) {
+	seats := u.seats()
+	for _, t := range u.tasks {
+		if t.state != taskWaiting {
+			continue
+		}
+		i := slices.IndexFunc(seats, func(s seat) bool { return s.slots > 0 && !t.avoid.Has(s.worker.id) })
+		if i < 0 {
+			// A task that has failed everywhere may run anywhere again.
+			i = slices.IndexFunc(seats, func(s seat) bool { return s.slots > 0 && len(t.avoid) >= len(seats) })
+		}
+		if i < 0 {
+			continue
+		}
+		if !b.withinLimit(u, u.need(), 1) {
+			return
+		}
+		b.start(t, seats[i], u.nextRun(t.run), t.saved)
+		seats[i].slots--
+	}
+}
+
+// placeGang starts all tasks together, or none.
+func (b *Board) placeGang(u *unit) {
+	seats := u.seats()
+	if u.phase.SameRack {
+		seats = oneRack(seats, u.phase.Count)
+	}
+	room := 0
+	for _, s := range seats {
+		room = min(room+s.slots, u.phase.Count)
+	}
+	if room < u.phase.Count {
+		return
+	}
+	run := u.nextRun(u.run)
+	for _, t := range u.tasks {
+		run = max(run, u.nextRun(t.run))
+	}
+	u.run = run
+	at := 0
+	for _, t := range u.tasks {
+		for seats[at].slots == 0 {
+			at++
+		}
+		b.start(t, seats[at], run, u.saved)
+		seats[at].slots--
+	}
+}
+
+// oneRack returns the seats of the rack that holds the whole gang best, or all
+// seats if none does.
+func oneRack(seats []seat, count int) []seat {
+	racks := map[string][]seat{}
+	var names []string
+	for _, s := range seats {
+		rack := s.worker.host.Rack
+		if racks[rack] == nil {
+			names = append(names, rack)
+		}
+		racks[rack] = append(racks[rack], s)
+	}
+	for _, name := range names {
+		room := 0
+		for _, s := range racks[name] {
+			room = min(room+s.slots, count)
+		}
+		if room == count {
+			return racks[name]
+		}
+	}
+	return seats
+}
+
+// start places one task.
+func (b *Board) start(t *Task, s seat, run uint64, saved string) {
+	t.run, t.next = run, s.worker
+	t.fire(taskPlace)
+	b.counts.Starts++
+	b.order(Order{
+		Kind: OrderStart, Worker: s.worker.id, Task: t.ID(), Run: run,
+		Text: t.unit.job.Spec.Text, Saved: saved, Ticket: s.ticket,
+	})
+	b.note(Note{Job: t.unit.id.Job, What: "placed", Worker: s.worker.id, Task: t.ID().String(), Run: run, Wait: b.now.Sub(t.unit.since)})
+}
+
+// Started follows the answer to a start.
+func (b *Board) Started(now time.Time, worker core.WorkerID, id jobs.TaskID, run uint64, r Reply) {
+	b.now = now
+	t := b.task(id)
+	if t == nil || t.worker == nil || t.worker.id != worker || t.run != run {
+		return
+	}
+	w := t.worker
+	if r != ReplyDone {
+		b.note(Note{Job: id.Job, What: "start not confirmed", Worker: worker, Task: id.String(), Run: run, Because: r.String()})
+	}
+	switch r {
+	case ReplyDone:
+		t.fire(taskAccepted)
+		return
+	case ReplyNone:
+		b.counts.Unanswered++
+		t.fire(taskUnanswered)
+		return
+	case ReplyTicket:
+		delete(t.unit.advice.allowed, worker)
+		t.unit.advice.named = dropName(t.unit.advice.named, worker)
+	case ReplyBusy:
+		w.setAside()
+	case ReplyStranger:
+		b.Replaced(now, worker)
+		return
+	case ReplyBad:
+		t.avoidWorker(worker)
+	}
+	b.counts.Refused++
+	t.fire(taskRefused)
+}
+
+func dropName(s core.Set[core.WorkerID], w core.WorkerID) core.Set[core.WorkerID] {
+	delete(s, w)
+	return s
+}
+
+// Stopped follows the answer to a stop.
+func (b *Board) Stopped(now time.Time, worker core.WorkerID, id jobs.TaskID, run uint64, r Reply) {
+	b.now = now
+	if r == ReplyStranger {
+		b.Replaced(now, worker)
+		return
+	}
+	if r != ReplyDone && r != ReplyOld {
+		return
+	}
+	if t := b.task(id); t != nil && t.worker != nil && t.worker.id == worker && t.run == run {
+		t.stopped = now
+	}
+	if w := b.workers[worker]; w != nil {
+		for i := range w.strays {
+			if s := &w.strays[i]; s.task == id && s.run == run {
+				s.stopped = now
+			}
+		}
+	}
+}
+
+// note adds a decision to the log.
+func (b *Board) note(n Note) { b.notes = append(b.notes, n) }
--- /dev/null
+++ b/core/board/worker.go
@@ -0,0 +1,516 @@
+package board
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chicoryturn/core"
+	"chicoryturn/core/chart"
+	"chicoryturn/core/jobs"
+)
+
+const (
+	// slowestClock is the least rate of a worker's clock; the platform allows
+	// clocks that are 2 % slow.
+	slowestClock = 0.98
+	// lapseSlack is added to a lease before it counts as ended, for rounding on
+	// both sides.
+	lapseSlack = 50 * time.Millisecond
+	// holdWait is how long a hold waits for an end; the platform takes at most
+	// 2 s, and three of them fit into the shortest lease of 6 s.
+	holdWait = 1900 * time.Millisecond
+	// holdPart divides the lease into the longest pause between two holds.
+	holdPart = 4
+	// missedPause is the time before a worker that has not answered is asked again.
+	missedPause = 400 * time.Millisecond
+	// stopPause is the time before a stop without answer is sent again.
+	stopPause = 500 * time.Millisecond
+	// vanishWait is how long an entry must be missing from the platform's list
+	// before it counts as gone: entries that lapse while the store is away are
+	// back within 2 s of its return.
+	vanishWait = 2500 * time.Millisecond
+	// brokenRuns is how many runs must fail on a worker in a row before it is
+	// set aside.
+	brokenRuns = 3
+	// asideFirst and asideMost bound the time for which a worker that fails
+	// what it starts is set aside; the time doubles.
+	asideFirst = 1 * time.Second
+	asideMost  = 8 * time.Second
+)
+
+// Host is a worker as the platform lists it.
+type Host struct {
+	core.VM
+	Labels []string
+	// Left is the least time until a leaving worker is gone.
+	Left time.Duration
+	// Born marks the incarnation, as far as the list tells.
+	Born time.Time
+}
+
+// stray is a run that holds room on a worker but is not what the board wants
+// there.
+type stray struct {
+	task   jobs.TaskID
+	run    uint64
+	charge core.Resources
+	team   core.Team
+	// halted is when its stop was last ordered, stopped when the worker has
+	// answered one.
+	halted, stopped time.Time
+}
+
+// Worker is a worker VM as the owner knows it.
+type Worker struct {
+	id    core.WorkerID
+	board *Board
+	state chart.State
+	host  Host
+	// recorded is set once the worker is in the roster that a later owner reads.
+	recorded bool
+	// listed is set while the platform lists the worker, missing since when it
+	// does not.
+	listed  bool
+	missing time.Time
+	// free is the room less what the tasks and strays hold.
+	free   core.Resources
+	tasks  map[jobs.TaskID]*Task
+	strays []stray
+	// unknown is set while the worker runs tasks of jobs that the board does
+	// not know; nothing is placed there.
+	unknown bool
+
+	// clock is the worker's clock as of its last answer, which came at heard.
+	clock time.Duration
+	heard time.Time
+	born  time.Time
+	// until is the latest lease ever sent, on the worker's clock.
+	until time.Duration
+
+	// holding is set while a hold is in flight, asked is when it was sent.
+	holding bool
+	asked   time.Time
+	// next is when a worker that has missed a contact is asked again.
+	next time.Time
+	// taken is the newest end taken in, seen the newest one acknowledged;
+	// those up to taken may be acknowledged once the change numbered after is
+	// in the store.
+	taken, seen uint64
+	after       uint64
+
+	// slow is the mean logarithm of the run times here over those predicted.
+	slow float64
+	// failed counts the runs that have failed since one ended well.
+	failed int
+	aside  time.Time
+	pause  time.Duration
+}
+
+func (w *Worker) fire(ev chart.Event) { w.board.refuse(workerChart.Fire(&w.state, ev, w)) }
+
+// SetHosts follows a new list of the platform.
+func (b *Board) SetHosts(now time.Time, hosts []Host) {
+	b.now = now
+	listed := map[core.WorkerID]bool{}
+	for _, h := range hosts {
+		id := core.WorkerID(h.Name)
+		listed[id] = true
+		w := b.workers[id]
+		if w == nil {
+			w = b.addWorker(id, h)
+		}
+		w.follow(h)
+	}
+	for _, w := range slices.Clone(b.byName) {
+		if !listed[w.id] {
+			w.unlist()
+		}
+	}
+	b.dropGone()
+	b.settle()
+	b.changed = true
+}
+
+// Recover adds the workers that an earlier owner may have used.
+func (b *Board) Recover(hosts []Host) {
+	for _, h := range hosts {
+		if b.workers[core.WorkerID(h.Name)] == nil {
+			b.addWorker(core.WorkerID(h.Name), h).missing = b.now
+		}
+	}
+}
+
+// Roster returns the workers that a later owner must hear of before it starts
+// older tasks.
+func (b *Board) Roster() []Host {
+	out := make([]Host, 0, len(b.byName))
+	for _, w := range b.byName {
+		out = append(out, w.host)
+	}
+	return out
+}
+
+// Known tells which workers are in the recorded roster; tasks are placed on no
+// other.
+func (b *Board) Known(roster map[core.WorkerID]bool) {
+	for _, w := range b.byName {
+		w.recorded = roster[w.id]
+	}
+	b.changed = true
+}
+
+func (b *Board) addWorker(id core.WorkerID, h Host) *Worker {
+	w := &Worker{id: id, board: b, state: workerChart.Start(), host: h, free: h.Room, tasks: map[jobs.TaskID]*Task{}}
+	b.workers[id] = w
+	i, _ := slices.BinarySearchFunc(b.byName, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
+	b.byName = slices.Insert(b.byName, i, w)
+	// A port is bound by one process at a time: another worker at the same
+	// address is over.
+	for _, o := range b.byName {
+		if o != w && o.host.Addr == h.Addr && !o.listed {
+			o.fire(workerVanish)
+		}
+	}
+	return w
+}
+
+func (w *Worker) follow(h Host) {
+	w.listed, w.missing = true, time.Time{}
+	if h.Room != w.host.Room {
+		w.free = w.free.Add(h.Room).Sub(w.host.Room)
+	}
+	w.host = h
+}
+
+func (w *Worker) unlist() {
+	b := w.board
+	w.listed = false
+	if w.missing.IsZero() {
+		w.missing = b.now
+	}
+	if b.now.Sub(w.missing) < vanishWait {
+		return
+	}
+	longest := time.Duration(float64(b.limits.Lease)/slowestClock) + vanishWait
+	if w.state == workerLapsed || w.state == workerFresh && b.now.Sub(b.began) > longest {
+		w.fire(workerVanish)
+	}
+}
+
+func (b *Board) dropGone() {
+	b.byName = slices.DeleteFunc(b.byName, func(w *Worker) bool {
+		if w.state == workerGone {
+			delete(b.workers, w.id)
+		}
+		return w.state == workerGone
+	})
+}
+
+// cut follows the end of all that ran on the worker.
+func (w *Worker) cut() {
+	w.board.counts.Lapses++
+	for _, t := range w.ownTasks() {
+		w.board.note(Note{Job: t.unit.id.Job, What: "lost with its worker", Worker: w.id, Task: t.ID().String(), Run: t.run, Because: workerChart.Name(w.state)})
+		t.fire(taskCut)
+	}
+	for _, s := range w.strays {
+		w.dropStray(s)
+	}
+	w.strays = nil
+	w.unknown = false
+}
+
+func (w *Worker) ownTasks() []*Task {
+	out := make([]*Task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *Task) int { return cmp.Compare(a.ID().String(), b.ID().String()) })
+	return out
+}
+
+func (w *Worker) addStray(s stray) {
+	w.strays = append(w.strays, s)
+	w.free = w.free.Sub(s.charge)
+	w.board.take(s.team, s.charge)
+	w.stopStray(len(w.strays) - 1)
+}
+
+func (w *Worker) dropStray(s stray) {
+	w.free = w.free.Add(s.charge)
+	w.board.give(s.team, s.charge)
+}
+
+func (w *Worker) stopStray(i int) {
+	s := &w.strays[i]
+	s.halted = w.board.now
+	w.board.counts.Stops++
+	w.board.order(Order{Kind: OrderStop, Worker: w.id, Task: s.task, Run: s.run})
+}
+
+// lease returns the end of a full lease from now on, on the worker's clock,
+// and remembers it as sent.
+func (w *Worker) lease() time.Duration {
+	if w.heard.IsZero() {
+		return 0
+	}
+	until := w.clock + w.board.now.Sub(w.heard) + w.board.limits.Lease
+	w.until = max(w.until, until)
+	return until
+}
+
+// lapsed reports whether everything on the worker has surely ended, however
+// slow its clock is.
+func (w *Worker) lapsed(now time.Time) bool {
+	if w.heard.IsZero() {
+		return false
+	}
+	least := w.clock + time.Duration(float64(now.Sub(w.heard))*slowestClock)
+	return least > w.until+lapseSlack
+}
+
+// Held takes in a worker's answer to a hold that was sent at a time.
+func (b *Board) Held(now time.Time, id core.WorkerID, sent time.Time, l Lists) {
+	b.now = now
+	w := b.workers[id]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	if !w.born.IsZero() && !l.Born.Equal(w.born) {
+		w.reborn(l.Born)
+	}
+	w.born = l.Born
+	if l.Clock >= w.clock {
+		w.clock, w.heard = l.Clock, now
+	}
+	w.fire(workerAnswer)
+	if w.state == workerGone {
+		return
+	}
+	w.takeEnds(l.Ended)
+	w.takeActive(sent, l)
+	b.settle()
+	b.changed = true
+}
+
+// reborn follows a new incarnation under the same name: the old one's runs are
+// over and its numbers and clock begin anew.
+func (w *Worker) reborn(born time.Time) {
+	w.cut()
+	w.clock, w.heard, w.until = 0, time.Time{}, 0
+	w.taken, w.seen, w.after = 0, 0, 0
+	w.failed = 0
+	w.host.Born = born
+}
+
+func (w *Worker) takeEnds(ends []Ended) {
+	b := w.board
+	for _, e := range ends {
+		if e.Number <= w.taken {
+			continue
+		}
+		w.taken = e.Number
+		w.score(e.How)
+		if i := slices.IndexFunc(w.strays, func(s stray) bool { return s.task == e.Task && s.run == e.Run }); i >= 0 {
+			w.dropStray(w.strays[i])
+			w.strays = slices.Delete(w.strays, i, i+1)
+		}
+		t := b.task(e.Task)
+		n := Note{Job: e.Task.Job, What: "run ended " + e.Word, Worker: w.id, Task: e.Task.String(), Run: e.Run}
+		if t != nil {
+			if t.worker == w && t.run == e.Run && !t.began.IsZero() {
+				n.Wait = b.now.Sub(t.began)
+			}
+			t.ended(w, e.Run, e.How, e.Saved)
+		}
+		b.note(n)
+	}
+	w.after = b.changes
+}
+
+// score sets a worker aside that fails all it starts.
+func (w *Worker) score(how End) {
+	switch how {
+	case EndDone:
+		w.failed, w.pause = 0, 0
+	case EndFailed:
+		if w.failed++; w.failed >= brokenRuns {
+			w.setAside()
+		}
+	}
+}
+
+func (w *Worker) setAside() {
+	w.pause = min(max(2*w.pause, asideFirst), asideMost)
+	w.aside = w.board.now.Add(w.pause)
+}
+
+// takeActive reconciles the board with all that runs on the worker.
+func (w *Worker) takeActive(sent time.Time, l Lists) {
+	b := w.board
+	w.unknown = false
+	type runID struct {
+		task jobs.TaskID
+		run  uint64
+	}
+	seen := make(map[runID]struct{}, len(l.Active))
+	for _, a := range l.Active {
+		seen[runID{a.Task, a.Run}] = struct{}{}
+		t := b.task(a.Task)
+		switch {
+		case t == nil:
+			w.unknown = true
+		case t.worker == w && t.run == a.Run:
+			t.fire(taskFound)
+			t.report(a)
+		case t.state == taskHeld:
+			t.next, t.run = w, a.Run
+			t.fire(taskFound)
+			t.report(a)
+		default:
+			w.strayFound(t, a)
+		}
+	}
+	for _, t := range w.ownTasks() {
+		if _, ok := seen[runID{t.ID(), t.run}]; !ok {
+			t.absent(sent, len(l.Ended))
+		}
+	}
+	w.strays = slices.DeleteFunc(w.strays, func(s stray) bool {
+		_, ok := seen[runID{s.task, s.run}]
+		// A run that is in neither list after its stop will never begin.
+		over := !ok && !s.stopped.IsZero() && sent.After(s.stopped)
+		if over {
+			w.dropStray(s)
+		}
+		return over
+	})
+}
+
+// strayFound follows a run that the board wants elsewhere or not at all.
+func (w *Worker) strayFound(t *Task, a Active) {
+	if slices.ContainsFunc(w.strays, func(s stray) bool { return s.task == a.Task && s.run == a.Run }) {
+		return
+	}
+	w.board.note(Note{Job: a.Task.Job, What: "run found that is not wanted; stopping it", Worker: w.id, Task: a.Task.String(), Run: a.Run, Because: "task is " + taskChart.Name(t.state)})
+	if t.run < a.Run {
+		t.run = a.Run
+	}
+	w.addStray(stray{task: a.Task, run: a.Run, charge: t.unit.need(), team: t.unit.job.Spec.Team})
+}
+
+// report takes in what the worker says of a running task.
+func (t *Task) report(a Active) {
+	if a.Saved != "" {
+		t.keep(a.Run, a.Saved)
+	}
+	if a.Percent != t.percent {
+		t.percent, t.moved = a.Percent, t.unit.job.board.now
+	}
+}
+
+// fullList is how many ends an answer holds at most; a run that is in neither
+// list may be among the ends that did not fit.
+const fullList = 500
+
+// absent follows an answer that names the task neither as running nor as ended.
+func (t *Task) absent(sent time.Time, ends int) {
+	if ends >= fullList {
+		return
+	}
+	switch t.state {
+	case taskRunning:
+		// The worker had confirmed the run before it was asked.
+		if !t.began.IsZero() && sent.After(t.began) {
+			t.fire(taskCut)
+		}
+	case taskDoubtful, taskStopping, taskLeaving:
+		// A stop that the worker has answered keeps the run from beginning later.
+		if !t.stopped.IsZero() && sent.After(t.stopped) {
+			t.fire(taskRefused)
+		}
+	}
+}
+
+// Missed follows a hold without answer.
+func (b *Board) Missed(now time.Time, id core.WorkerID) {
+	b.now = now
+	w := b.workers[id]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	w.next = now.Add(missedPause)
+	w.fire(workerMiss)
+	b.changed = true
+}
+
+// Replaced follows the proof that a worker's incarnation is over.
+func (b *Board) Replaced(now time.Time, id core.WorkerID) {
+	b.now = now
+	if w := b.workers[id]; w != nil {
+		w.fire(workerVanish)
+		b.dropGone()
+		b.settle()
+	}
+}
+
+// stops repeats the stops that have not been answered.
+func (b *Board) stops() {
+	for _, w := range b.byName {
+		for _, t := range w.tasks {
+			halting := t.state == taskDoubtful || t.state == taskStopping || t.state == taskLeaving
+			if halting && t.stopped.IsZero() && b.now.Sub(t.halted) > stopPause {
+				t.halt()
+			}
+		}
+		for i := range w.strays {
+			if w.strays[i].stopped.IsZero() && b.now.Sub(w.strays[i].halted) > stopPause {
+				w.stopStray(i)
+			}
+		}
+	}
+}
+
+// holds orders the contacts that are due.
+func (b *Board) holds() {
+	for _, w := range b.byName {
+		if w.lapsed(b.now) {
+			w.fire(workerLapse)
+		}
+		if w.holding || b.now.Before(w.next) {
+			continue
+		}
+		wait := holdWait
+		switch {
+		case w.state == workerFresh || w.heard.IsZero():
+			wait = 0
+		case w.state != workerLive:
+			wait = 0
+			w.next = b.now.Add(missedPause)
+		case b.confirmed < w.after:
+			// The ends just listed would be listed again at once.
+			if b.now.Sub(w.asked) < b.limits.Lease/holdPart {
+				continue
+			}
+			wait = 0
+		case w.taken > w.seen:
+			w.seen = w.taken
+		}
+		w.holding, w.asked = true, b.now
+		b.orderHold(w, wait)
+	}
+}
+
+func (b *Board) orderHold(w *Worker, wait time.Duration) {
+	b.orders = append(b.orders, Order{
+		Kind: OrderHold, Worker: w.id, Host: w.host, Epoch: b.epoch, Until: w.lease(), Seen: w.seen, Wait: wait,
+	})
+}
+
+// usable reports whether tasks may be placed on the worker.
+func (w *Worker) usable() bool {
+	return w.state == workerLive && w.listed && w.recorded && !w.host.Leaving && !w.unknown && !w.board.now.Before(w.aside)
+}
--- /dev/null
+++ b/core/policy/policy.go
@@ -0,0 +1,125 @@
+// Package policy holds one version of the desired configuration: the queues,
+// the teams with their keys, shares and limits, and the services.
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"chicoryturn/core"
+)
+
+// Advice describes the external placement policy of a queue.
+type Advice struct {
+	// Base is the time of one call, PerWorker is added for each worker named.
+	Base      time.Duration
+	PerWorker time.Duration
+	// Valid is how long a ticket may be used.
+	Valid time.Duration
+}
+
+// Cost returns the expected length of a call that names n workers.
+func (a Advice) Cost(n int) time.Duration { return a.Base + time.Duration(n)*a.PerWorker }
+
+// Queue is the rule for one kind of work.
+type Queue struct {
+	Name core.Queue
+	// Host and Prefix select the queue; the longest prefix wins.
+	Host, Prefix string
+	Service      core.Service
+	// Priority 0 comes first.
+	Priority int
+	// Attempts is how often a task may fail before its job has failed; it is at
+	// least 1.
+	Attempts int
+	// A job is on time if it ends within Slowdown times its longest chain of
+	// work, and Latency more.
+	Slowdown float64
+	Latency  time.Duration
+	// Timeout bounds one call of a client.
+	Timeout time.Duration
+	// Public queues need no key.
+	Public bool
+	// Advice is absent for queues that any worker of the service may run.
+	Advice core.Option[Advice]
+}
+
+// Team is a customer.
+type Team struct {
+	Name core.Team
+	Keys []string
+	// Weight is the share of a full fleet.
+	Weight float64
+	// Limit bounds what the team runs in the whole fleet; 0 means no limit.
+	Limit core.Resources
+}
+
+// Service is a pool of interchangeable workers.
+type Service struct {
+	Name core.Service
+	// Guards is set when the workers themselves refuse what does not fit.
+	Guards bool
+	// Standby pools are switched off.
+	Standby bool
+	// Health is the path that a worker answers with 200 while it is healthy.
+	Health string
+}
+
+// Policy is one version. It never changes once it has been built.
+type Policy struct {
+	Version  core.Version
+	Queues   map[core.Queue]*Queue
+	Teams    map[core.Team]*Team
+	Services map[core.Service]*Service
+	// MaxBody bounds a submission, in bytes.
+	MaxBody int64
+
+	byKey  map[string]*Team
+	byHost map[string][]*Queue
+}
+
+// New builds a policy and its indexes.
+func New(version core.Version, queues []Queue, teams []Team, services []Service, maxBody int64) *Policy {
+	p := &Policy{
+		Version: version, MaxBody: maxBody,
+		Queues: map[core.Queue]*Queue{}, Teams: map[core.Team]*Team{}, Services: map[core.Service]*Service{},
+		byKey: map[string]*Team{}, byHost: map[string][]*Queue{},
+	}
+	for i := range queues {
+		q := &queues[i]
+		p.Queues[q.Name] = q
+		p.byHost[q.Host] = append(p.byHost[q.Host], q)
+	}
+	for _, qs := range p.byHost {
+		slices.SortFunc(qs, func(a, b *Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range teams {
+		t := &teams[i]
+		p.Teams[t.Name] = t
+		for _, k := range t.Keys {
+			p.byKey[k] = t
+		}
+	}
+	for i := range services {
+		p.Services[services[i].Name] = &services[i]
+	}
+	return p
+}
+
+// Route returns the queue of a host and path, and the rest of the path.
+func (p *Policy) Route(host, path string) (*Queue, string, bool) {
+	for _, q := range p.byHost[host] {
+		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
+			return q, rest, true
+		}
+	}
+	return nil, "", false
+}
+
+// Key returns the team that a key belongs to.
+func (p *Policy) Key(key string) (*Team, bool) {
+	t, ok := p.byKey[key]
+	return t, ok
+}
--- /dev/null
+++ b/core/reign/reign.go
@@ -0,0 +1,229 @@
+// Package reign decides which process owns the fleet's jobs and workers. One
+// row in the platform's table names the owner; every claim and renewal is a
+// write on the condition that the row has not changed.
+package reign
+
+import (
+	_ "embed"
+	"net/netip"
+	"time"
+
+	"chicoryturn/core"
+	"chicoryturn/core/chart"
+)
+
+const (
+	// TTL is how long an owner's row may stay unchanged, as its watchers see it,
+	// before they claim. Owners renew every Renewal, so that three renewals may
+	// be lost or slow.
+	TTL = 2500 * time.Millisecond
+	// Renewal is the longest pause between two writes of an owner.
+	Renewal = 700 * time.Millisecond
+	// Look is the pause between two looks at another owner's row.
+	Look = 700 * time.Millisecond
+	// blind is the longest pause between two successful looks that still counts
+	// as having watched the row all the while.
+	blind = 1500 * time.Millisecond
+	// thaw is by how much the clock that counts suspended time may run ahead of
+	// the one that does not before an owner must confirm its row.
+	thaw = 250 * time.Millisecond
+)
+
+//go:embed reign.toml
+var text []byte
+
+var (
+	machine = chart.Must(chart.Load[*Reign](text, nil, nil))
+
+	vacant = machine.Event("vacant")
+	won    = machine.Event("won")
+	lost   = machine.Event("lost")
+	loaded = machine.Event("loaded")
+	failed = machine.Event("failed")
+	leave  = machine.Event("leave")
+
+	watching = machine.State("watching")
+	claiming = machine.State("claiming")
+	loading  = machine.State("loading")
+	owning   = machine.State("owning")
+)
+
+// Draw returns the chart as text.
+func Draw() string { return machine.Draw() }
+
+// Seat is the row that names the owner.
+type Seat struct {
+	// Holder names one incarnation of a process; it is empty if the last owner
+	// has left.
+	Holder core.SessionID
+	VM     string
+	// Addr is where the owner answers other processes.
+	Addr netip.AddrPort
+	// Epoch numbers the owners, Beat the writes of one owner.
+	Epoch core.Epoch
+	Beat  uint64
+}
+
+// Reign follows the seat as one process sees it.
+type Reign struct {
+	me    Seat
+	state chart.State
+	// seat and version are the row as last read or written; version is 0 while
+	// there is none.
+	seat    Seat
+	version uint64
+	// changed is when the row was first seen as it is, looked when it was last
+	// read.
+	changed, looked time.Time
+	// patience is added to the time before a claim; the process best suited to
+	// own has the least.
+	patience time.Duration
+	// doubt is set while the outcome of a write is not known.
+	doubt bool
+	// skew is how far the two clocks were apart at the last check.
+	skew time.Duration
+	// frozen is set after a suspension until the row has been confirmed.
+	frozen bool
+}
+
+// New returns the view of a process that has not read the row yet. Patience
+// delays its claims.
+func New(me Seat, patience time.Duration) *Reign {
+	return &Reign{me: me, state: machine.Start(), patience: patience}
+}
+
+func (r *Reign) fire(ev chart.Event) {
+	// Every state of the chart decides every event without refusing any.
+	_ = machine.Fire(&r.state, ev, r)
+}
+
+// Seat returns the row as last seen, and its version.
+func (r *Reign) Seat() (Seat, uint64) { return r.seat, r.version }
+
+// State returns the name of the present state.
+func (r *Reign) State() string { return machine.Name(r.state) }
+
+// Owning reports whether the process decides.
+func (r *Reign) Owning() bool { return r.state == owning }
+
+// Loading reports whether the process has won and must read what is recorded.
+func (r *Reign) Loading() bool { return r.state == loading }
+
+// Mine reports whether the process holds the row.
+func (r *Reign) Mine() bool { return r.state == owning || r.state == loading }
+
+// SetPatience changes the delay of claims.
+func (r *Reign) SetPatience(p time.Duration) { r.patience = p }
+
+// Looked takes in the row as read at a time; version 0 means that there is
+// none. It reports whether the process should claim now.
+func (r *Reign) Looked(now time.Time, s Seat, version uint64) bool {
+	if version < r.version {
+		return false
+	}
+	mine := s.Holder == r.me.Holder
+	// Whatever a write without an answer has done shows in the row.
+	r.doubt = false
+	if r.Mine() {
+		r.seat, r.version, r.looked = s, version, now
+		if !mine {
+			r.fire(lost)
+			r.changed = now
+			return false
+		}
+		r.frozen = false
+		return false
+	}
+	if version != r.version || r.changed.IsZero() || now.Sub(r.looked) > blind {
+		r.changed = now
+	}
+	r.seat, r.version, r.looked = s, version, now
+	if mine && version > 0 {
+		// A claim without an answer has taken effect.
+		r.fire(won)
+		return false
+	}
+	if r.state != watching {
+		return false
+	}
+	wait := r.patience
+	if version > 0 && s.Holder != "" {
+		wait += TTL
+	}
+	if now.Sub(r.changed) < wait {
+		return false
+	}
+	r.fire(vacant)
+	return r.state == claiming
+}
+
+// Deposed follows the news of a later owner.
+func (r *Reign) Deposed() {
+	if r.Mine() {
+		r.fire(lost)
+		r.changed = time.Time{}
+	}
+}
+
+// Next returns the row to write next: a claim or a renewal.
+func (r *Reign) Next() (Seat, uint64) {
+	s := r.me
+	s.Epoch, s.Beat = r.seat.Epoch, r.seat.Beat+1
+	if !r.Mine() {
+		s.Epoch, s.Beat = r.seat.Epoch+1, 1
+	}
+	return s, r.version
+}
+
+// Resign returns the row that frees the seat for others.
+func (r *Reign) Resign() (Seat, uint64) {
+	s := r.seat
+	s.Holder, s.Beat = "", r.seat.Beat+1
+	return s, r.version
+}
+
+// Wrote follows a write that has taken effect.
+func (r *Reign) Wrote(now time.Time, s Seat, version uint64) {
+	r.seat, r.version, r.looked, r.changed, r.doubt, r.frozen = s, version, now, now, false, false
+	r.fire(won)
+}
+
+// Lost follows a write whose condition failed.
+func (r *Reign) Lost() {
+	r.fire(lost)
+	r.changed = time.Time{}
+}
+
+// Unsure follows a write without an answer; the row must be read before the
+// next one.
+func (r *Reign) Unsure() {
+	r.doubt = true
+	r.fire(failed)
+}
+
+// Refused follows a write that surely has not taken effect.
+func (r *Reign) Refused() { r.fire(failed) }
+
+// Doubt reports whether the row must be read again before it is written.
+func (r *Reign) Doubt() bool { return r.doubt }
+
+// Loaded follows the end of reading what is recorded.
+func (r *Reign) Loaded() { r.fire(loaded) }
+
+// Leave ends all claims of a process that is stopping.
+func (r *Reign) Leave() { r.fire(leave) }
+
+// Awake compares the time since start on a clock that counts suspended time
+// with that on one that does not. It reports whether orders may be sent: after
+// a suspension the row must be confirmed first.
+func (r *Reign) Awake(counting, steady time.Duration) bool {
+	skew := counting - steady
+	if skew-r.skew > thaw && r.Mine() {
+		r.frozen = true
+	}
+	r.skew = skew
+	return !r.frozen
+}
+
+// Frozen reports whether the row must be confirmed after a suspension.
+func (r *Reign) Frozen() bool { return r.frozen }
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,279 @@
+// Package entry serves clients on every VM: it checks their calls, records
+// jobs and cancellations, and answers questions through the owner or, without
+// one, from the record.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
+	"chicoryturn/io/guide"
+)
+
+const (
+	// shortCall is the length up to which the VM that has taken a job asks for
+	// advice itself, while the job is being recorded.
+	shortCall = 50 * time.Millisecond
+	// askMost bounds the workers of one call for advice; the platform takes 100.
+	askMost = 100
+	// againSoon is when a client that was refused should come back.
+	againSoon = time.Second
+	// cancelRetry is the pause before a cancellation is recorded again.
+	cancelRetry = 100 * time.Millisecond
+)
+
+// Vault records and reads what lasts.
+type Vault interface {
+	Accept(ctx context.Context, spec jobs.Spec) error
+	Cancel(ctx context.Context, id core.JobID, now time.Time) error
+	State(ctx context.Context, id core.JobID) (jobs.State, error)
+}
+
+// Link reaches the owner.
+type Link interface {
+	Accepted(spec jobs.Spec, asking bool)
+	Advised(r guide.Result)
+	Cancelled(id core.JobID)
+	State(ctx context.Context, id core.JobID) (state jobs.State, known bool, err error)
+	Pending(ctx context.Context, q core.Queue) (n int, known bool, err error)
+}
+
+// Adviser asks the placement policy.
+type Adviser interface {
+	Ask(a board.Ask, then func(guide.Result))
+	Waiting() int
+}
+
+// Meter takes in what operators want to see.
+type Meter interface {
+	Call(kind, result string, took time.Duration)
+}
+
+// Entry is the state that the traffic goroutines of a VM share. All of it is
+// replaced whole.
+type Entry struct {
+	vault   Vault
+	link    Link
+	adviser Adviser
+	meter   Meter
+	log     *logrus.Entry
+
+	policy  atomic.Pointer[policy.Policy]
+	hosts   atomic.Pointer[[]board.Host]
+	leaving atomic.Bool
+	// busy counts the calls being answered.
+	busy atomic.Int64
+}
+
+// New returns an entry without a configuration; it refuses all calls.
+func New(v Vault, l Link, a Adviser, m Meter, log *logrus.Entry) *Entry {
+	return &Entry{vault: v, link: l, adviser: a, meter: m, log: log}
+}
+
+// SetPolicy follows a newer configuration; an older one changes nothing.
+func (e *Entry) SetPolicy(p *policy.Policy) {
+	if old := e.policy.Load(); old == nil || p.Version > old.Version {
+		e.policy.Store(p)
+	}
+}
+
+// Version returns that of the configuration in force; 0 means none.
+func (e *Entry) Version() core.Version {
+	if p := e.policy.Load(); p != nil {
+		return p.Version
+	}
+	return 0
+}
+
+// SetHosts follows a new list of workers.
+func (e *Entry) SetHosts(hosts []board.Host) { e.hosts.Store(&hosts) }
+
+// Leave has the VM report that it takes no more clients.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// Busy returns how many calls are being answered.
+func (e *Entry) Busy() int64 { return e.busy.Load() }
+
+// Ready reports whether clients should be sent here.
+func (e *Entry) Ready() bool { return !e.leaving.Load() && e.policy.Load() != nil }
+
+// MaxBody bounds a submission, in bytes; 0 means no configured bound.
+func (e *Entry) MaxBody() int64 {
+	if p := e.policy.Load(); p != nil {
+		return p.MaxBody
+	}
+	return 0
+}
+
+// Visit finds the queue of a call and checks its key.
+func (e *Entry) Visit(host, path, key string) (*policy.Queue, core.Team, string, error) {
+	p := e.policy.Load()
+	if p == nil {
+		r := core.Refuse(core.CodeConfig, "this VM has no configuration yet")
+		r.RetryAfter = againSoon
+		return nil, "", "", r
+	}
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	q, rest, ok := p.Route(host, path)
+	if !ok {
+		return nil, "", "", core.Refuse(core.CodeNoQueue, "no queue for %s%s in version %d", host, path, p.Version)
+	}
+	t, known := p.Key(key)
+	switch {
+	case known:
+		return q, t.Name, rest, nil
+	case q.Public:
+		return q, "", rest, nil
+	}
+	return nil, "", "", core.Refuse(core.CodeBadKey, "the key belongs to no team in version %d", p.Version)
+}
+
+// track counts a call and logs its outcome.
+func (e *Entry) track(kind string, id core.JobID, f func() (string, error)) error {
+	e.busy.Add(1)
+	defer e.busy.Add(-1)
+	began := time.Now()
+	what, err := f()
+	took := time.Since(began)
+	if err != nil {
+		what = "failed"
+		var r *core.RefusalError
+		if errors.As(err, &r) {
+			what = string(r.Code)
+		}
+	}
+	e.meter.Call(kind, what, took)
+	l := e.log.WithFields(logrus.Fields{"job": id, "result": what, "took": took.Round(time.Millisecond).String()})
+	if err != nil {
+		l = l.WithError(err)
+	}
+	if kind != "state" || err != nil {
+		l.Info(kind)
+	}
+	return err
+}
+
+// Submit records a job and tells the owner. A nil error means that the job
+// will be run.
+func (e *Entry) Submit(ctx context.Context, spec jobs.Spec) error {
+	return e.track("submit", spec.ID, func() (string, error) {
+		if err := spec.Check(); err != nil {
+			return "", core.Refuse(core.CodeBadInput, "%v", err)
+		}
+		early := e.askEarly(&spec)
+		if err := e.vault.Accept(ctx, spec); err != nil {
+			return "", err
+		}
+		e.link.Accepted(spec, early != nil)
+		if early != nil {
+			go func() { e.link.Advised(<-early) }()
+		}
+		return "accepted", nil
+	})
+}
+
+// askEarly asks for advice on the first phase while the job is being recorded,
+// if the call is short and nothing waits before it. The channel yields one
+// result.
+func (e *Entry) askEarly(spec *jobs.Spec) <-chan guide.Result {
+	p, hosts := e.policy.Load(), e.hosts.Load()
+	q := p.Queues[spec.Queue]
+	if q == nil || hosts == nil || spec.Repeat > 0 {
+		return nil
+	}
+	a, ok := q.Advice.Get()
+	if !ok || e.adviser.Waiting() > 0 {
+		return nil
+	}
+	ask := board.Ask{Phase: jobs.PhaseID{Job: spec.ID}}
+	for _, h := range *hosts {
+		if h.Service == q.Service && !h.Leaving && len(ask.Workers) < askMost {
+			ask.Workers = append(ask.Workers, core.WorkerID(h.Name))
+		}
+	}
+	ask.Cost = a.Cost(len(ask.Workers))
+	if len(ask.Workers) == 0 || ask.Cost > shortCall {
+		return nil
+	}
+	out := make(chan guide.Result, 1)
+	e.adviser.Ask(ask, func(r guide.Result) { out <- r })
+	return out
+}
+
+// State returns how a job is shown. Only the record tells that there is none.
+func (e *Entry) State(ctx context.Context, id core.JobID) (jobs.State, error) {
+	var state jobs.State
+	err := e.track("state", id, func() (string, error) {
+		s, known, err := e.link.State(ctx, id)
+		if err == nil && known {
+			state = s
+			return "owner", nil
+		}
+		state, err = e.vault.State(ctx, id)
+		return "record", e.unavailable(err)
+	})
+	return state, err
+}
+
+// unavailable turns a failure of the store into a refusal.
+func (e *Entry) unavailable(err error) error {
+	var r *core.RefusalError
+	if err == nil || errors.As(err, &r) {
+		return err
+	}
+	out := core.Refuse(core.CodeStore, "the store does not answer")
+	out.Err, out.RetryAfter = err, againSoon
+	return out
+}
+
+// Cancel records a cancellation and tells the owner.
+func (e *Entry) Cancel(ctx context.Context, id core.JobID) error {
+	return e.track("cancel", id, func() (string, error) {
+		for {
+			err := e.vault.Cancel(ctx, id, time.Now())
+			var r *core.RefusalError
+			if err == nil {
+				e.link.Cancelled(id)
+				return "cancelled", nil
+			}
+			if errors.As(err, &r) {
+				return "", err
+			}
+			t := time.NewTimer(cancelRetry)
+			select {
+			case <-ctx.Done():
+				t.Stop()
+				return "", core.Unknown(core.CodeStore, err, "the cancellation is not confirmed")
+			case <-t.C:
+			}
+		}
+	})
+}
+
+// Pending returns how many jobs of a queue wait for their first start.
+func (e *Entry) Pending(ctx context.Context, q core.Queue) (int, error) {
+	n := 0
+	err := e.track("pending", "", func() (string, error) {
+		var known bool
+		var err error
+		n, known, err = e.link.Pending(ctx, q)
+		if err != nil || !known {
+			r := core.Refuse(core.CodeOwner, "no owner answers at present")
+			r.Err, r.RetryAfter = err, againSoon
+			return "", r
+		}
+		return "owner", nil
+	})
+	return n, err
+}
--- /dev/null
+++ b/io/guide/guide.go
@@ -0,0 +1,84 @@
+// Package guide asks the external placement policy on behalf of one VM. The
+// policy serves one call of a VM at a time.
+package guide
+
+import (
+	"context"
+	"time"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+)
+
+const (
+	// queue bounds the calls that wait, below the 32 that the policy takes.
+	queue = 30
+	// patience times the expected length of a call, and grace more, bounds it.
+	patience = 3
+	grace    = time.Second
+)
+
+// Policy answers which workers may run a phase.
+type Policy interface {
+	Advise(ctx context.Context, id jobs.PhaseID, workers []core.WorkerID) (allowed []board.Allowed, valid time.Duration, err error)
+}
+
+// Result is the outcome of one call; Err is set if it has failed.
+type Result struct {
+	Ask     board.Ask
+	Allowed []board.Allowed
+	Valid   time.Duration
+	Err     error
+}
+
+// FullError reports that too many calls wait.
+type FullError struct{}
+
+// Error implements error.
+func (*FullError) Error() string { return "too many calls for placement advice wait" }
+
+type entry struct {
+	ask  board.Ask
+	then func(Result)
+}
+
+// Guide makes the calls of one VM, one after another.
+type Guide struct {
+	policy Policy
+	calls  chan entry
+}
+
+// New returns a guide; Run makes its calls.
+func New(p Policy) *Guide { return &Guide{p, make(chan entry, queue)} }
+
+// Ask queues a call; then gets its result on another goroutine.
+func (g *Guide) Ask(a board.Ask, then func(Result)) {
+	select {
+	case g.calls <- entry{a, then}:
+	default:
+		then(Result{Ask: a, Err: &FullError{}})
+	}
+}
+
+// Waiting returns how many calls wait.
+func (g *Guide) Waiting() int { return len(g.calls) }
+
+// Run makes the calls until the context ends.
+func (g *Guide) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-g.calls:
+			e.then(g.call(ctx, e.ask))
+		}
+	}
+}
+
+func (g *Guide) call(ctx context.Context, a board.Ask) Result {
+	ctx, cancel := context.WithTimeout(ctx, patience*a.Cost+grace)
+	defer cancel()
+	allowed, valid, err := g.policy.Advise(ctx, a.Phase, a.Workers)
+	return Result{Ask: a, Allowed: allowed, Valid: valid, Err: err}
+}
--- /dev/null
+++ b/io/link/link.go
@@ -0,0 +1,117 @@
+// Package link joins the VMs of the system to the owner of the fleet with one
+// grpc stream each. Jobs, answers of the placement policy and questions travel
+// up; replies and calls for advice travel down.
+package link
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/io/guide"
+	"chicoryturn/io/wire"
+)
+
+const (
+	// aliveEvery and aliveWithin find a connection that has gone silent: grpc
+	// allows no shorter pause than 10 s between pings of a client, so the user
+	// timeout of TCP, which aliveWithin also sets, does most of it.
+	aliveEvery  = 10 * time.Second
+	aliveWithin = 1500 * time.Millisecond
+	// sendQueue bounds the messages that wait for a stream.
+	sendQueue = 512
+	// replyTime bounds the wait for the owner's reply to a question.
+	replyTime = 600 * time.Millisecond
+	// maxMessage bounds one message, in bytes.
+	maxMessage = 1 << 20
+	// window bounds what is in flight on a stream, and so its memory.
+	window = 64 << 10
+)
+
+// ClosedError reports that there is no stream to the owner.
+type ClosedError struct{ Reason string }
+
+// Error implements error.
+func (e *ClosedError) Error() string { return "no link to the owner: " + e.Reason }
+
+// FormatError reports a message that cannot be used.
+type FormatError struct{ What string }
+
+// Error implements error.
+func (e *FormatError) Error() string { return fmt.Sprintf("message of a peer: %s", e.What) }
+
+var keepAlive = keepalive.ClientParameters{Time: aliveEvery, Timeout: aliveWithin, PermitWithoutStream: true}
+
+var enforce = keepalive.EnforcementPolicy{MinTime: aliveEvery / 2, PermitWithoutStream: true}
+
+var serverAlive = keepalive.ServerParameters{Time: time.Second, Timeout: aliveWithin}
+
+func fromPhase(p jobs.PhaseID) *wire.Phase {
+	return &wire.Phase{Job: string(p.Job), Occurrence: int32(p.Occurrence), Phase: int32(p.Phase)}
+}
+
+func toPhase(p *wire.Phase) (jobs.PhaseID, error) {
+	if p.GetJob() == "" || p.GetOccurrence() < 0 || p.GetPhase() < 0 {
+		return jobs.PhaseID{}, &FormatError{"a phase without a name"}
+	}
+	return jobs.PhaseID{Job: core.JobID(p.Job), Occurrence: int(p.Occurrence), Phase: int(p.Phase)}, nil
+}
+
+func fromAsk(a board.Ask) *wire.Advise {
+	out := &wire.Advise{Phase: fromPhase(a.Phase), Cost: durationpb.New(a.Cost)}
+	for _, w := range a.Workers {
+		out.Workers = append(out.Workers, string(w))
+	}
+	return out
+}
+
+func toAsk(a *wire.Advise) (board.Ask, error) {
+	id, err := toPhase(a.GetPhase())
+	if err != nil {
+		return board.Ask{}, err
+	}
+	return board.Ask{Phase: id, Workers: workers(a.Workers), Cost: a.GetCost().AsDuration()}, nil
+}
+
+func workers(names []string) []core.WorkerID {
+	out := make([]core.WorkerID, len(names))
+	for i, n := range names {
+		out[i] = core.WorkerID(n)
+	}
+	return out
+}
+
+func fromResult(r guide.Result) *wire.Advised {
+	out := &wire.Advised{Phase: fromPhase(r.Ask.Phase), Failed: r.Err != nil, Valid: durationpb.New(r.Valid)}
+	for _, w := range r.Ask.Workers {
+		out.Named = append(out.Named, string(w))
+	}
+	for _, a := range r.Allowed {
+		out.Allowed = append(out.Allowed, string(a.Worker))
+		out.Tickets = append(out.Tickets, a.Ticket)
+	}
+	return out
+}
+
+func toResult(a *wire.Advised) (guide.Result, error) {
+	id, err := toPhase(a.GetPhase())
+	if err != nil {
+		return guide.Result{}, err
+	}
+	if len(a.Allowed) != len(a.Tickets) {
+		return guide.Result{}, &FormatError{"workers and tickets differ in number"}
+	}
+	r := guide.Result{Ask: board.Ask{Phase: id, Workers: workers(a.Named)}, Valid: a.GetValid().AsDuration()}
+	for i := range a.Allowed {
+		r.Allowed = append(r.Allowed, board.Allowed{Worker: core.WorkerID(a.Allowed[i]), Ticket: a.Tickets[i]})
+	}
+	if a.Failed {
+		r.Err = &FormatError{"the call for advice has failed"}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/io/node/desk.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/io/guide"
+	"chicoryturn/io/link"
+	"chicoryturn/io/owner"
+)
+
+// desk brings what the entry has for the owner to it: across the link, or
+// directly if this process is the owner.
+type desk struct {
+	vm    string
+	owner *owner.Owner
+	link  *link.Client
+	mine  atomic.Bool
+}
+
+// Accepted implements entry.Link.
+func (d *desk) Accepted(spec jobs.Spec, asking bool) {
+	if !d.mine.Load() {
+		d.link.Accepted(spec, asking)
+		return
+	}
+	from := ""
+	if asking {
+		from = d.vm
+	}
+	d.owner.Accepted(spec, from)
+}
+
+// Advised implements entry.Link.
+func (d *desk) Advised(r guide.Result) {
+	if d.mine.Load() {
+		d.owner.Advised(d.vm, r)
+		return
+	}
+	d.link.Advised(r)
+}
+
+// Cancelled implements entry.Link.
+func (d *desk) Cancelled(id core.JobID) {
+	if d.mine.Load() {
+		d.owner.Cancelled(id)
+		return
+	}
+	d.link.Cancelled(id)
+}
+
+// State implements entry.Link.
+func (d *desk) State(ctx context.Context, id core.JobID) (jobs.State, bool, error) {
+	if !d.mine.Load() {
+		return d.link.State(ctx, id)
+	}
+	s, known, mine, err := d.owner.State(ctx, id)
+	return s, known && mine, err
+}
+
+// Pending implements entry.Link.
+func (d *desk) Pending(ctx context.Context, q core.Queue) (int, bool, error) {
+	if !d.mine.Load() {
+		return d.link.Pending(ctx, q)
+	}
+	return d.owner.Pending(ctx, q)
+}
+
+// local is the process's own turn at the placement policy.
+type local struct {
+	vm    string
+	guide *guide.Guide
+	owner *owner.Owner
+}
+
+// Name implements owner.Peer.
+func (l *local) Name() string { return l.vm }
+
+// Advise implements owner.Peer.
+func (l *local) Advise(a board.Ask) {
+	l.guide.Ask(a, func(r guide.Result) { l.owner.Advised(l.vm, r) })
+}
+
+// Resigned implements owner.Peer.
+func (*local) Resigned() {}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,325 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"chicoryturn/core"
+	"chicoryturn/core/policy"
+	"chicoryturn/core/reign"
+	"chicoryturn/io/entry"
+	"chicoryturn/io/guide"
+	"chicoryturn/io/link"
+	"chicoryturn/io/loop"
+	"chicoryturn/io/owner"
+	"chicoryturn/io/proc"
+	"chicoryturn/io/spool"
+	"chicoryturn/io/table"
+	"chicoryturn/io/vault"
+)
+
+const (
+	// sessionBytes is the length of the random part of a session's name.
+	sessionBytes = 6
+	// policyWait is how long one call waits for a new configuration. It bounds
+	// how late a VM finds that its connection has gone silent.
+	policyWait = 800 * time.Millisecond
+	// policyPause is the time before a failed reading is repeated.
+	policyPause = 200 * time.Millisecond
+	// collectAt is the growth of the heap, in percent, that starts a collection;
+	// peak memory is priced higher than processor time.
+	collectAt = 50
+	// memoryPart is the part of the memory limit from which on collections are
+	// forced.
+	memoryPart = 0.75
+	// drainTime is how long a stopping process goes on taking connections: the
+	// balancer needs two probes, a second apart, to notice.
+	drainTime = 2600 * time.Millisecond
+	// exitSlack is what is left of the grace period for the exit itself.
+	exitSlack = 700 * time.Millisecond
+	// unhurried is added to the patience of VMs for each part of a core that
+	// they lack, so that the seat goes to a large VM.
+	unhurried = 600 * time.Millisecond
+	// headerTime bounds the time in which a client sends its headers.
+	headerTime = 5 * time.Second
+	// idleTime bounds the time that a connection is kept without a call.
+	idleTime = time.Minute
+)
+
+// Lists reads the configuration and the workers.
+type Lists interface {
+	owner.Hosts
+	// Policy reads the configuration, nil if there is none, and the version
+	// from which Changed goes on.
+	Policy(ctx context.Context) (*policy.Policy, uint64, error)
+	// Changed waits for the next configuration.
+	Changed(ctx context.Context, after uint64, wait time.Duration) (*policy.Policy, uint64, error)
+}
+
+// Platform is all that a process needs of the outside.
+type Platform struct {
+	Store   vault.Store
+	Lists   Lists
+	Workers owner.Workers
+	Advice  guide.Policy
+	// Callers and Probes make the handlers of the process's doors.
+	Callers, Probes func(*entry.Entry) http.Handler
+}
+
+// Node is one process.
+type Node struct {
+	settings Settings
+	platform Platform
+	log      *logrus.Logger
+	spool    *spool.Spool
+	entry    *entry.Entry
+	owner    *owner.Owner
+	link     *link.Client
+	guide    *guide.Guide
+	vault    *vault.Vault
+}
+
+// Run runs a process until stop is closed and all calls have been answered, or
+// the context ends.
+func Run(ctx context.Context, s Settings, p Platform, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	return assemble(s, p, loop.New(ctx)).run(ctx, stop, cancel)
+}
+
+func assemble(s Settings, p Platform, l *loop.Loop) *Node {
+	n := &Node{settings: s, platform: p, spool: spool.New(os.Stdout), log: logrus.New()}
+	n.log.SetOutput(n.spool)
+	n.log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
+	if level, err := logrus.ParseLevel(s.Level); err == nil {
+		n.log.SetLevel(level)
+	}
+	n.vault = vault.New(p.Store)
+	n.guide = guide.New(p.Advice)
+	d := &desk{vm: s.VM}
+	n.entry = entry.New(n.vault, d, n.guide, gauge{}, n.part("entry"))
+	me := reign.Seat{Holder: session(s.VM), VM: s.VM, Addr: s.Peers}
+	n.owner = owner.New(l, n.vault, p.Workers, p.Lists, gauge{}, me, patience(s), s.Limits, n.part("owner"),
+		owner.WithHostsHook(n.entry.SetHosts),
+		owner.WithSeatHook(func(seat reign.Seat, mine bool) { n.follow(d, seat, mine) }))
+	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner.SeatLost, n.part("link"))
+	d.owner, d.link = n.owner, n.link
+	return n
+}
+
+func (n *Node) part(name string) *logrus.Entry {
+	return n.log.WithFields(logrus.Fields{"vm": n.settings.VM, "part": name})
+}
+
+// patience delays the claims of small VMs.
+func patience(s Settings) time.Duration {
+	return time.Duration(max(1-s.Share, 0) * float64(unhurried))
+}
+
+func session(vm string) core.SessionID {
+	b := make([]byte, sessionBytes)
+	// rand.Read never fails: it ends the program instead.
+	_, _ = rand.Read(b)
+	return core.SessionID(fmt.Sprintf("%s/%x", vm, b))
+}
+
+// follow joins the owner of the fleet.
+func (n *Node) follow(d *desk, seat reign.Seat, mine bool) {
+	d.mine.Store(mine)
+	if mine || seat.Holder == "" {
+		n.link.Follow(netip.AddrPort{})
+		return
+	}
+	n.link.Follow(seat.Addr)
+}
+
+func (n *Node) run(ctx context.Context, stop <-chan struct{}, end context.CancelFunc) error {
+	debug.SetGCPercent(collectAt)
+	if n.settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(n.settings.Memory)))
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	logs, endLogs := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = n.spool.Run(logs)
+	}()
+	defer func() {
+		endLogs()
+		<-written
+	}()
+	if err := n.serve(ctx, g, stop, end); err != nil {
+		return err
+	}
+	g.Go(n.owner.Run)
+	g.Go(func() error { return n.vault.Run(ctx) })
+	g.Go(func() error { return n.guide.Run(ctx) })
+	g.Go(func() error { return n.link.Run(ctx) })
+	g.Go(func() error { return n.watchPolicy(ctx) })
+	n.owner.Join(&local{vm: n.settings.VM, guide: n.guide, owner: n.owner})
+	n.part("node").WithFields(logrus.Fields{
+		"callers": n.settings.Callers.String(), "peers": n.settings.Peers.String(), "share": n.settings.Share, "memory": n.settings.Memory,
+	}).Info("started")
+	return g.Wait()
+}
+
+// serve binds the process's addresses.
+func (n *Node) serve(ctx context.Context, g *errgroup.Group, stop <-chan struct{}, end context.CancelFunc) error {
+	callers, err := proc.Listen("callers", n.settings.Callers)
+	if err != nil {
+		return err
+	}
+	probes, err := proc.Listen("probes", n.settings.Probes)
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	peers, err := proc.Listen("peers", n.settings.Peers)
+	if err != nil {
+		return errors.Join(err, callers.Close(), probes.Close())
+	}
+	ops, err := proc.Listen("ops", n.settings.Ops)
+	if err != nil {
+		return errors.Join(err, callers.Close(), probes.Close(), peers.Close())
+	}
+	rpc := link.NewServer(n.owner, n.part("link"))
+	g.Go(func() error { return rpc.Serve(peers) })
+	g.Go(func() error {
+		<-ctx.Done()
+		rpc.Stop()
+		return nil
+	})
+	door := n.httpServer(ctx, g, callers, n.platform.Callers(n.entry))
+	n.httpServer(ctx, g, probes, n.platform.Probes(n.entry))
+	n.httpServer(ctx, g, ops, n.ops())
+	g.Go(func() error { return n.shutdown(ctx, stop, door, end) })
+	return nil
+}
+
+func (n *Node) httpServer(ctx context.Context, g *errgroup.Group, l net.Listener, h http.Handler) *http.Server {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: nil}
+	g.Go(func() error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+	return srv
+}
+
+// shutdown follows a planned stop: the balancer is told, the seat given up,
+// and what has been taken is answered.
+func (n *Node) shutdown(ctx context.Context, stop <-chan struct{}, door *http.Server, end context.CancelFunc) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-stop:
+	}
+	began := time.Now()
+	log := n.part("node")
+	log.Info("stopping")
+	n.entry.Leave()
+	n.owner.Leave()
+	// Each further answer closes its connection.
+	door.SetKeepAlivesEnabled(false)
+	wait(ctx, min(drainTime, n.settings.Grace/2))
+	limit, cancel := context.WithTimeout(ctx, max(n.settings.Grace-exitSlack-time.Since(began), exitSlack))
+	defer cancel()
+	if err := door.Shutdown(limit); err != nil {
+		log.WithError(err).WithField("calls", n.entry.Busy()).Warn("calls left")
+	}
+	select {
+	case <-n.owner.Left():
+	case <-limit.Done():
+	}
+	log.WithField("took", time.Since(began).Round(time.Millisecond).String()).Info("stopped")
+	end()
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// watchPolicy follows the configuration.
+func (n *Node) watchPolicy(ctx context.Context) error {
+	log := n.part("config")
+	for ctx.Err() == nil {
+		p, version, err := n.platform.Lists.Policy(ctx)
+		if err != nil {
+			log.WithError(err).Warn("configuration not read")
+			wait(ctx, policyPause)
+			continue
+		}
+		n.setPolicy(p)
+		for ctx.Err() == nil {
+			p, version, err = n.platform.Lists.Changed(ctx, version, policyWait)
+			if err != nil {
+				var trimmed *table.TrimmedError
+				if !errors.As(err, &trimmed) {
+					log.WithError(err).Warn("configuration not followed")
+					wait(ctx, policyPause)
+				}
+				break
+			}
+			n.setPolicy(p)
+		}
+	}
+	return nil
+}
+
+func (n *Node) setPolicy(p *policy.Policy) {
+	if p == nil {
+		return
+	}
+	old := n.entry.Version()
+	n.entry.SetPolicy(p)
+	if p.Version > old {
+		n.owner.SetPolicy(p)
+		n.part("config").WithFields(logrus.Fields{"version": p.Version, "last": old}).Info("configuration in force")
+	}
+}
+
+// ops returns the operators' pages.
+func (n *Node) ops() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.GetOrCreateCounter("chicoryturn_log_lines_dropped_total").Set(n.spool.Dropped())
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) {
+		d, err := n.owner.Dump(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// An error here means that the reader has gone.
+		_ = json.NewEncoder(w).Encode(d)
+	})
+	return mux
+}
--- /dev/null
+++ b/io/owner/owner.go
@@ -0,0 +1,403 @@
+// Package owner runs the control goroutine that owns the fleet's jobs and
+// workers while its process holds the seat, and watches the seat otherwise.
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
+	"chicoryturn/core/reign"
+	"chicoryturn/io/clock"
+	"chicoryturn/io/loop"
+	"chicoryturn/io/vault"
+)
+
+const (
+	// hostsPause is the time between two readings of the list of workers. A
+	// leaving worker must get no more work after 2.5 s.
+	hostsPause = 500 * time.Millisecond
+	// newsPause is the time between two readings of what VMs have recorded; a
+	// VM that lives tells the owner at once.
+	newsPause = time.Second
+	// recordPause keeps the ends of one moment in one write.
+	recordPause = 5 * time.Millisecond
+	// retryPause is the time before a refused write or read is repeated.
+	retryPause = 150 * time.Millisecond
+	// planPause bounds how often placement runs, so that a burst of messages
+	// costs one pass.
+	planPause = 4 * time.Millisecond
+)
+
+// Vault is what the owner reads and writes.
+type Vault interface {
+	Seat(ctx context.Context) (reign.Seat, uint64, error)
+	Write(ctx context.Context, r vault.Record) (uint64, error)
+	Load(ctx context.Context) (*vault.Recorded, error)
+	News(ctx context.Context, jobsAfter, cancelsAfter uint64) (vault.News, error)
+}
+
+// Workers carries orders to workers.
+type Workers interface {
+	Start(ctx context.Context, o board.Order) (board.Reply, error)
+	Stop(ctx context.Context, o board.Order) (board.Reply, error)
+	Hold(ctx context.Context, o board.Order) (board.Lists, board.Reply, error)
+}
+
+// Hosts lists the workers.
+type Hosts interface {
+	Hosts(ctx context.Context) (hosts []board.Host, left []error, err error)
+}
+
+// Meter takes in what operators want to see.
+type Meter interface {
+	Board(c board.Counts)
+	Call(kind string, reply string, took time.Duration)
+	Record(rows int, took time.Duration)
+	Plan(took time.Duration)
+	Own(owning bool)
+}
+
+// Owner is the control state of one process.
+type Owner struct {
+	loop    *loop.Loop
+	vault   Vault
+	workers Workers
+	hosts   Hosts
+	meter   Meter
+	log     *logrus.Entry
+	random  *rand.Rand
+
+	reign  *reign.Reign
+	limits board.Limits
+	policy *policy.Policy
+	// board is nil unless the process owns the fleet.
+	board *board.Board
+	peers *peers
+	// onSeat is told who owns the fleet, whenever that changes.
+	onSeat   func(s reign.Seat, mine bool)
+	lastSeat reign.Seat
+	// onHosts is told the workers as last listed.
+	onHosts func([]board.Host)
+	listed  []board.Host
+	hostsAt time.Time
+
+	reading, writing, listing, asking bool
+	nextLook, nextHosts, nextNews     time.Time
+	nextWrite, nextPlan               time.Time
+	wroteAt                           time.Time
+	jobsAfter, cancelsAfter           uint64
+	// roster is the number of workers in the roster in the store.
+	roster    map[core.WorkerID]bool
+	newRoster []board.Host
+	leaving   bool
+	left      chan struct{}
+}
+
+// Option changes an owner under construction.
+type Option func(*Owner)
+
+// WithSeatHook has a function told who owns the fleet.
+func WithSeatHook(f func(s reign.Seat, mine bool)) Option { return func(o *Owner) { o.onSeat = f } }
+
+// WithHostsHook has a function told the workers as last listed.
+func WithHostsHook(f func([]board.Host)) Option { return func(o *Owner) { o.onHosts = f } }
+
+// WithSeed fixes the random choices.
+func WithSeed(seed uint64) Option {
+	return func(o *Owner) { o.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns the control state of a process that has not read the seat yet.
+func New(l *loop.Loop, v Vault, w Workers, h Hosts, m Meter, me reign.Seat, patience time.Duration, limits board.Limits, log *logrus.Entry, opts ...Option) *Owner {
+	o := &Owner{
+		loop: l, vault: v, workers: w, hosts: h, meter: m, log: log, limits: limits,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		reign:  reign.New(me, patience), peers: newPeers(),
+		onSeat: func(reign.Seat, bool) {}, onHosts: func([]board.Host) {},
+		left: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o
+}
+
+// Run handles messages until the context ends.
+func (o *Owner) Run() error { return o.loop.Run(o) }
+
+// Left is closed once the process has given up the seat after Leave.
+func (o *Owner) Left() <-chan struct{} { return o.left }
+
+// Handle implements loop.Handler.
+func (o *Owner) Handle(now time.Time, m loop.Message) {
+	if t, ok := m.(turn); ok {
+		t.run(o, now)
+	}
+}
+
+// turn is a message that carries what to do with it.
+type turn interface {
+	loop.Message
+	run(o *Owner, now time.Time)
+}
+
+// do is a turn made of a function.
+type do func(o *Owner, now time.Time)
+
+// Message implements loop.Message.
+func (do) Message() {}
+
+func (d do) run(o *Owner, now time.Time) { d(o, now) }
+
+// post sends a turn from a traffic goroutine.
+func (o *Owner) post(f func(o *Owner, now time.Time)) {
+	// A stopped loop needs no messages.
+	_ = o.loop.Post(do(f))
+}
+
+// call runs I/O on a goroutine of its own and what it returns on the control
+// goroutine.
+func (o *Owner) call(work func(ctx context.Context) func(o *Owner, now time.Time)) {
+	o.loop.Go(func(ctx context.Context) loop.Message {
+		if f := work(ctx); f != nil {
+			return do(f)
+		}
+		return nil
+	})
+}
+
+// Wake implements loop.Handler.
+func (o *Owner) Wake(now time.Time) time.Time {
+	awake := o.reign.Awake(clock.Counting(), clock.Steady())
+	o.look(now)
+	o.list(now)
+	next := now.Add(reign.Look)
+	if o.board != nil && awake && !o.leaving {
+		o.news(now)
+		if !now.Before(o.nextPlan) {
+			o.plan(now)
+		}
+		next = o.nextPlan.Add(time.Millisecond)
+	}
+	o.write(now)
+	for _, t := range []time.Time{o.nextLook, o.nextHosts, o.nextWrite} {
+		if t.After(now) && t.Before(next) {
+			next = t
+		}
+	}
+	return next
+}
+
+// plan lets the board decide and carries out what it has decided.
+func (o *Owner) plan(now time.Time) {
+	began := time.Now()
+	until := o.board.Plan(now)
+	o.dispatch(o.board.Orders())
+	o.advise(now)
+	o.meter.Plan(time.Since(began))
+	o.meter.Board(o.board.Counts())
+	o.logNotes()
+	o.nextPlan = until
+}
+
+// soon has the board decide shortly.
+func (o *Owner) soon(now time.Time) {
+	if t := now.Add(planPause); o.nextPlan.After(t) {
+		o.nextPlan = t
+	}
+}
+
+func (o *Owner) logNotes() {
+	for _, n := range o.board.Notes() {
+		f := logrus.Fields{"job": n.Job, "worker": n.Worker, "task": n.Task, "run": n.Run}
+		if n.Wait > 0 {
+			f["after"] = n.Wait.Round(time.Millisecond).String()
+		}
+		if n.Because != "" {
+			f["because"] = n.Because
+		}
+		o.log.WithFields(f).Info(n.What)
+	}
+	for _, err := range o.board.Refusals() {
+		o.log.WithError(err).Error("event refused")
+	}
+}
+
+// list reads the workers when it is time.
+func (o *Owner) list(now time.Time) {
+	if o.listing || now.Before(o.nextHosts) {
+		return
+	}
+	o.listing = true
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		hosts, left, err := o.hosts.Hosts(ctx)
+		return func(o *Owner, now time.Time) {
+			o.listing = false
+			o.nextHosts = now.Add(o.hostsPause())
+			if err != nil {
+				o.log.WithError(err).Warn("list of workers not read")
+				return
+			}
+			for _, e := range left {
+				o.log.WithError(e).Warn("worker left out")
+			}
+			o.listed, o.hostsAt = hosts, now
+			o.onHosts(hosts)
+			if o.board != nil {
+				o.board.SetHosts(now, hosts)
+				o.checkRoster()
+				o.soon(now)
+			}
+		}
+	})
+}
+
+// hostsPause is longer on VMs that own nothing: they need the list only to ask
+// for advice.
+func (o *Owner) hostsPause() time.Duration {
+	if o.reign.Mine() {
+		return hostsPause
+	}
+	return 4 * hostsPause
+}
+
+// checkRoster has the list of workers recorded when it has grown.
+func (o *Owner) checkRoster() {
+	for _, h := range o.board.Roster() {
+		if !o.roster[core.WorkerID(h.Name)] {
+			o.newRoster = o.board.Roster()
+			return
+		}
+	}
+}
+
+// news reads what VMs have recorded when it is time.
+func (o *Owner) news(now time.Time) {
+	if o.asking || now.Before(o.nextNews) {
+		return
+	}
+	o.asking = true
+	jobsAfter, cancelsAfter, epoch := o.jobsAfter, o.cancelsAfter, o.board.Epoch()
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		n, err := o.vault.News(ctx, jobsAfter, cancelsAfter)
+		return func(o *Owner, now time.Time) {
+			o.asking = false
+			o.nextNews = now.Add(newsPause)
+			if o.board == nil || o.board.Epoch() != epoch {
+				return
+			}
+			o.takeNews(now, n, err)
+		}
+	})
+}
+
+func (o *Owner) takeNews(now time.Time, n vault.News, err error) {
+	if err != nil {
+		o.log.WithError(err).Warn("news not read")
+		if isTrimmed(err) {
+			o.reload()
+		}
+	}
+	for _, s := range n.Specs {
+		if o.board.Accept(now, s) {
+			o.log.WithFields(logrus.Fields{"job": s.ID, "queue": s.Queue}).Info("job found in the store")
+		}
+	}
+	for _, id := range n.Cancelled {
+		o.board.Cancel(now, id)
+	}
+	for _, e := range n.Unread {
+		o.log.WithError(e).Error("recorded job left out")
+	}
+	o.jobsAfter, o.cancelsAfter = n.Jobs, n.Cancels
+	o.soon(now)
+}
+
+// SetPolicy follows a newer configuration.
+func (o *Owner) SetPolicy(p *policy.Policy) {
+	o.post(func(o *Owner, now time.Time) {
+		o.policy = p
+		if o.board != nil {
+			o.board.SetPolicy(p)
+			o.soon(now)
+		}
+	})
+}
+
+// Leave gives the seat up and claims it no more.
+func (o *Owner) Leave() {
+	o.post(func(o *Owner, now time.Time) {
+		o.leaving = true
+		o.resign(now)
+	})
+}
+
+// jobState is the answer to a question about a job.
+type jobState struct {
+	state jobs.State
+	known bool
+	mine  bool
+}
+
+// State returns how a job is shown. Mine is false unless this process owns the
+// fleet, known is false for a job that it has not heard of.
+func (o *Owner) State(ctx context.Context, id core.JobID) (state jobs.State, known, mine bool, err error) {
+	s, err := ask(ctx, o, func(o *Owner, _ time.Time) jobState {
+		if o.board == nil {
+			return jobState{}
+		}
+		st, ok := o.board.State(id)
+		return jobState{st, ok, true}
+	})
+	return s.state, s.known, s.mine, err
+}
+
+// Pending returns the length of a queue; ok is false unless this process owns
+// the fleet.
+func (o *Owner) Pending(ctx context.Context, q core.Queue) (n int, ok bool, err error) {
+	n, err = ask(ctx, o, func(o *Owner, _ time.Time) int {
+		if o.board == nil {
+			return -1
+		}
+		return o.board.Pending()[q]
+	})
+	return max(n, 0), n >= 0, err
+}
+
+func ask[R any](ctx context.Context, o *Owner, f func(o *Owner, now time.Time) R) (R, error) {
+	return loop.Ask(ctx, o.loop, func(reply chan<- R) loop.Message {
+		return do(func(o *Owner, now time.Time) { reply <- f(o, now) })
+	})
+}
+
+// Accepted takes in a job that is in the store. Asking is the peer that is
+// asking for advice on its first phase; it may be empty.
+func (o *Owner) Accepted(spec jobs.Spec, asking string) {
+	o.post(func(o *Owner, now time.Time) {
+		if o.board == nil {
+			return
+		}
+		o.board.Accept(now, spec)
+		if asking != "" {
+			o.board.Asking(now, jobs.PhaseID{Job: spec.ID})
+		}
+		o.soon(now)
+	})
+}
+
+// Cancelled takes in a cancellation that is in the store.
+func (o *Owner) Cancelled(id core.JobID) {
+	o.post(func(o *Owner, now time.Time) {
+		if o.board != nil {
+			o.board.Cancel(now, id)
+			o.soon(now)
+		}
+	})
+}
--- /dev/null
+++ b/io/owner/seat.go
@@ -0,0 +1,306 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/reign"
+	"chicoryturn/io/table"
+	"chicoryturn/io/vault"
+)
+
+// writeTime bounds one write of an owner.
+const writeTime = 1200 * time.Millisecond
+
+func isTrimmed(err error) bool {
+	var t *table.TrimmedError
+	return errors.As(err, &t)
+}
+
+// look reads the seat: now and then while others own the fleet, and after a
+// write of our own without an answer.
+func (o *Owner) look(now time.Time) {
+	need := !o.reign.Mine() || o.reign.Doubt() || o.reign.Frozen()
+	if o.reading || o.writing || o.leaving || !need || now.Before(o.nextLook) {
+		return
+	}
+	o.reading = true
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		began := time.Now()
+		s, version, err := o.vault.Seat(ctx)
+		took := time.Since(began)
+		return func(o *Owner, now time.Time) {
+			o.reading = false
+			o.nextLook = now.Add(reign.Look)
+			if err != nil {
+				o.nextLook = now.Add(retryPause)
+				o.log.WithError(err).Warn("seat not read")
+				return
+			}
+			o.looked(now, s, version, took)
+		}
+	})
+}
+
+func (o *Owner) looked(now time.Time, s reign.Seat, version uint64, took time.Duration) {
+	was := o.reign.Mine()
+	claim := o.reign.Looked(now, s, version)
+	if was && !o.reign.Mine() {
+		o.dismiss("the seat has another holder")
+	}
+	o.tellSeat()
+	switch {
+	case claim:
+		o.log.WithFields(logrus.Fields{"epoch": s.Epoch + 1, "last": s.VM, "version": version, "took": took.String()}).Info("claiming the seat")
+		o.nextWrite = now
+		o.write(now)
+	case o.reign.Loading() && !was:
+		o.reload()
+	case !o.reign.Mine() && s.Holder == "":
+		// The seat is free: look again as soon as it may be claimed.
+		o.nextLook = now.Add(retryPause)
+	}
+}
+
+// tellSeat tells the process's other parts who owns the fleet.
+func (o *Owner) tellSeat() {
+	s, _ := o.reign.Seat()
+	if s.Holder == o.lastSeat.Holder && s.Epoch == o.lastSeat.Epoch {
+		return
+	}
+	o.lastSeat = s
+	o.log.WithFields(logrus.Fields{"epoch": s.Epoch, "owner": s.VM}).Info("owner known")
+	o.onSeat(s, o.reign.Mine())
+}
+
+// SeatLost has the seat looked at at once, since its owner seems to be gone.
+func (o *Owner) SeatLost() {
+	o.post(func(o *Owner, now time.Time) { o.nextLook = now })
+}
+
+// dismiss forgets the board after the seat has been lost.
+func (o *Owner) dismiss(why string) {
+	if o.board == nil {
+		return
+	}
+	o.log.WithFields(logrus.Fields{"epoch": o.board.Epoch(), "because": why}).Warn("no longer the owner")
+	o.board = nil
+	o.roster, o.newRoster = nil, nil
+	o.meter.Own(false)
+	o.peers.forget()
+}
+
+// deposed follows the news of a later owner from a worker.
+func (o *Owner) deposed(now time.Time, why string) {
+	o.reign.Deposed()
+	o.dismiss(why)
+	o.nextLook = now
+}
+
+// write claims or renews the seat, with the progress that waits.
+func (o *Owner) write(now time.Time) {
+	if o.writing || o.reading || o.leaving || o.reign.Doubt() || now.Before(o.nextWrite) {
+		return
+	}
+	claiming := o.reign.State() == "claiming"
+	if !claiming && !o.reign.Mine() {
+		return
+	}
+	seat, version := o.reign.Next()
+	rec := vault.Record{Seat: seat, Version: version}
+	if o.board != nil {
+		rec.Progress = o.board.Batch()
+		rec.Roster = o.newRoster
+	}
+	due := claiming || len(rec.Progress) > 0 || rec.Roster != nil || now.Sub(o.wroteAt) >= reign.Renewal
+	if !due {
+		return
+	}
+	o.writing = true
+	epoch := seat.Epoch
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(ctx, writeTime)
+		defer cancel()
+		newVersion, err := o.vault.Write(ctx, rec)
+		took := time.Since(began)
+		return func(o *Owner, now time.Time) {
+			o.writing = false
+			o.meter.Record(len(rec.Progress), took)
+			o.wrote(now, rec, newVersion, epoch, err)
+		}
+	})
+}
+
+// wrote follows the outcome of a write.
+func (o *Owner) wrote(now time.Time, rec vault.Record, version uint64, epoch core.Epoch, err error) {
+	same := o.board != nil && o.board.Epoch() == epoch
+	o.nextWrite = now.Add(recordPause)
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		was := o.reign.Mine()
+		o.reign.Wrote(now, rec.Seat, version)
+		o.wroteAt = now
+		o.tellSeat()
+		if !was && o.reign.Loading() {
+			o.reload()
+		}
+		if same {
+			o.board.Recorded(now)
+			o.rosterWritten(rec.Roster)
+			o.soon(now)
+		}
+		return
+	case errors.As(err, &conflict):
+		// Either another process has the seat or an earlier write of ours, which
+		// had no answer, has been carried out late: the row tells.
+		o.log.WithError(err).Warn("seat has changed")
+		o.reign.Unsure()
+		o.nextLook = now
+	case vault.Refused(err):
+		o.log.WithError(err).Warn("record refused")
+		o.reign.Refused()
+		o.nextWrite = now.Add(retryPause)
+	default:
+		o.log.WithError(err).Warn("record not confirmed")
+		o.reign.Unsure()
+		o.nextLook = now
+		o.nextWrite = now.Add(retryPause)
+	}
+	if same {
+		// Writing the same progress again does no harm.
+		o.board.Returned()
+	}
+}
+
+func (o *Owner) rosterWritten(r []board.Host) {
+	if r == nil {
+		return
+	}
+	o.roster = map[core.WorkerID]bool{}
+	for _, h := range r {
+		o.roster[core.WorkerID(h.Name)] = true
+	}
+	o.newRoster = nil
+	o.board.Known(o.roster)
+}
+
+// reload reads all that is recorded, after a claim or when the feed of changes
+// has been cut.
+func (o *Owner) reload() {
+	seat, _ := o.reign.Seat()
+	epoch := seat.Epoch
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		began := time.Now()
+		rec, err := o.vault.Load(ctx)
+		took := time.Since(began)
+		return func(o *Owner, now time.Time) {
+			seat, _ := o.reign.Seat()
+			if !o.reign.Mine() || seat.Epoch != epoch {
+				return
+			}
+			if err != nil {
+				o.log.WithError(err).Warn("record not loaded")
+				o.loadLater()
+				return
+			}
+			o.loaded(now, epoch, rec, took)
+		}
+	})
+}
+
+// loadLater repeats a failed load.
+func (o *Owner) loadLater() {
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		t := time.NewTimer(retryPause)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		return func(o *Owner, _ time.Time) {
+			if o.reign.Mine() {
+				o.reload()
+			}
+		}
+	})
+}
+
+func (o *Owner) loaded(now time.Time, epoch core.Epoch, rec *vault.Recorded, took time.Duration) {
+	for _, e := range rec.Unread {
+		o.log.WithError(e).Error("recorded row left out")
+	}
+	if o.policy == nil {
+		// Without a configuration nothing can be decided; the policy comes from
+		// the same store.
+		o.loadLater()
+		return
+	}
+	if o.board == nil {
+		o.board = board.New(now, epoch, o.limits, o.policy)
+		o.board.Recover(rec.Roster)
+		o.roster = map[core.WorkerID]bool{}
+		o.meter.Own(true)
+	}
+	o.board.Load(now, rec.Specs, rec.Progress)
+	for _, id := range rec.Cancelled {
+		o.board.Cancel(now, id)
+	}
+	if !o.hostsAt.IsZero() {
+		o.board.SetHosts(now, o.listed)
+	}
+	o.checkRoster()
+	o.jobsAfter, o.cancelsAfter = rec.Jobs, rec.Cancels
+	o.nextHosts, o.nextNews, o.nextPlan = now, now, now
+	o.reign.Loaded()
+	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(rec.Specs), "workers": len(o.listed), "took": took.Round(time.Millisecond).String()}).Info("owning the fleet")
+	o.onSeat(o.lastSeat, true)
+}
+
+// resign frees the seat for another process.
+func (o *Owner) resign(now time.Time) {
+	if !o.reign.Mine() {
+		o.reign.Leave()
+		close(o.left)
+		return
+	}
+	if o.writing {
+		// The write in flight decides the version of the next one.
+		o.call(func(ctx context.Context) func(*Owner, time.Time) {
+			t := time.NewTimer(recordPause)
+			defer t.Stop()
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			}
+			return func(o *Owner, now time.Time) { o.resign(now) }
+		})
+		return
+	}
+	seat, version := o.reign.Resign()
+	rec := vault.Record{Seat: seat, Version: version}
+	if o.board != nil {
+		rec.Progress = o.board.Batch()
+	}
+	o.writing = true
+	o.dismiss("the process is stopping")
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		ctx, cancel := context.WithTimeout(ctx, writeTime)
+		defer cancel()
+		_, err := o.vault.Write(ctx, rec)
+		return func(o *Owner, _ time.Time) {
+			o.writing = false
+			o.log.WithField("error", err).Info("seat given up")
+			o.reign.Leave()
+			o.peers.resigned()
+			close(o.left)
+		}
+	})
+}
--- /dev/null
+++ b/io/spool/spool.go
@@ -0,0 +1,76 @@
+// Package spool writes logs without ever delaying who logs: lines beyond a
+// bounded buffer are dropped and counted.
+package spool
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// lines bounds the lines that wait to be written.
+	lines = 2048
+	// chunk bounds the bytes of one write.
+	chunk = 16 << 10
+)
+
+// Spool is an io.Writer that never blocks.
+type Spool struct {
+	out     io.Writer
+	queue   chan []byte
+	dropped atomic.Uint64
+}
+
+// New returns a spool in front of a writer; Run writes.
+func New(out io.Writer) *Spool { return &Spool{out: out, queue: make(chan []byte, lines)} }
+
+// Write implements io.Writer. It always succeeds.
+func (s *Spool) Write(line []byte) (int, error) {
+	select {
+	case s.queue <- bytes.Clone(line):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines have been dropped.
+func (s *Spool) Dropped() uint64 { return s.dropped.Load() }
+
+// Run writes what is queued until the context ends, then what is left.
+func (s *Spool) Run(ctx context.Context) error {
+	told := uint64(0)
+	var buf bytes.Buffer
+	for {
+		select {
+		case <-ctx.Done():
+			s.flush(&buf)
+			return nil
+		case line := <-s.queue:
+			buf.Write(line)
+			s.flush(&buf)
+		}
+		if n := s.dropped.Load(); n > told {
+			fmt.Fprintf(&buf, "{\"part\":\"log\",\"msg\":\"lines dropped\",\"count\":%d}\n", n-told)
+			told = n
+		}
+	}
+}
+
+func (s *Spool) flush(buf *bytes.Buffer) {
+	for buf.Len() < chunk {
+		select {
+		case line := <-s.queue:
+			buf.Write(line)
+			continue
+		default:
+		}
+		break
+	}
+	// A log that cannot be written is not worth more than its lines.
+	_, _ = s.out.Write(buf.Bytes())
+	buf.Reset()
+}
--- /dev/null
+++ b/io/vault/accept.go
@@ -0,0 +1,186 @@
+package vault
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chicoryturn/core"
+	"chicoryturn/core/jobs"
+	"chicoryturn/io/table"
+)
+
+const (
+	// acceptQueue bounds the jobs that wait for one partition's next write.
+	acceptQueue = 256
+	// acceptBatch bounds the jobs of one write, well below the platform's 100
+	// entries and 1 MB for jobs of a few kilobytes.
+	acceptBatch = 50
+	// writeTime bounds one write of accepted jobs.
+	writeTime = 1200 * time.Millisecond
+	// againPause is the time before a refused or unanswered write is repeated.
+	againPause = 80 * time.Millisecond
+)
+
+// acceptance is a job that waits to be recorded.
+type acceptance struct {
+	ctx  context.Context
+	spec jobs.Spec
+	put  table.Put
+	// unsure is set once a write that holds the job had no answer: it may take
+	// effect until a later write has seen the row.
+	unsure bool
+	done   chan error
+}
+
+// Run records accepted jobs until the context ends; one write for each
+// partition is in flight, and what arrives meanwhile shares the next one.
+func (v *Vault) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range v.writes {
+		g.Go(func() error {
+			v.writer(ctx, v.writes[i])
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// Accept records a job. A nil error means that the job is in the store. A
+// RefusalError with run "no" means that it is not and never will be; one with
+// run "unknown" that it may be.
+func (v *Vault) Accept(ctx context.Context, spec jobs.Spec) error {
+	put, err := encode(jobKey(spec.ID), spec)
+	if err != nil {
+		return err
+	}
+	a := &acceptance{ctx: ctx, spec: spec, put: put, done: make(chan error, 1)}
+	select {
+	case v.writes[partOf(spec.ID)] <- a:
+	default:
+		r := core.Refuse(core.CodeBusy, "%d jobs wait for the store", acceptQueue)
+		r.RetryAfter = time.Second
+		return r
+	}
+	// The writer always answers, soon after the caller's time is up.
+	return <-a.done
+}
+
+func (v *Vault) writer(ctx context.Context, in <-chan *acceptance) {
+	var waiting []*acceptance
+	for {
+		if len(waiting) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case a := <-in:
+				waiting = append(waiting, a)
+			}
+		}
+		waiting = drain(in, waiting)
+		left := v.record(ctx, waiting)
+		if len(left) == len(waiting) && len(left) > 0 {
+			pause(ctx, againPause)
+		}
+		waiting = expire(left, ctx.Err() != nil)
+	}
+}
+
+func drain(in <-chan *acceptance, waiting []*acceptance) []*acceptance {
+	for len(waiting) < acceptBatch {
+		select {
+		case a := <-in:
+			waiting = append(waiting, a)
+		default:
+			return waiting
+		}
+	}
+	return waiting
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// record writes all that waits in one transaction and returns what must be
+// written again.
+func (v *Vault) record(ctx context.Context, waiting []*acceptance) []*acceptance {
+	t := table.Txn{}
+	named := map[string]bool{}
+	var now, later []*acceptance
+	for _, a := range waiting {
+		if named[a.put.Name] {
+			later = append(later, a)
+			continue
+		}
+		named[a.put.Name] = true
+		now = append(now, a)
+		t.Checks = append(t.Checks, table.Check{Key: a.put.Key})
+		t.Puts = append(t.Puts, a.put)
+	}
+	limited, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	_, err := v.store.Write(limited, t)
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		for _, a := range now {
+			a.done <- nil
+		}
+		return later
+	case errors.As(err, &conflict):
+		for _, a := range now {
+			if r, ok := conflict.Find(a.put.Key); ok {
+				a.done <- a.sameAs(r)
+			} else {
+				later = append(later, a)
+			}
+		}
+		return later
+	case Refused(err):
+	default:
+		for _, a := range now {
+			a.unsure = true
+		}
+	}
+	return append(now, later...)
+}
+
+// sameAs compares a job with the one recorded under its name: the same client's
+// repeated call is accepted, another team's is not.
+func (a *acceptance) sameAs(r table.Row) error {
+	var s jobs.Spec
+	if err := decode(r, &s); err != nil {
+		return err
+	}
+	if s.Team != a.spec.Team || s.Queue != a.spec.Queue {
+		return core.Refuse(core.CodeConflict, "the name %s belongs to another job", a.spec.ID)
+	}
+	return nil
+}
+
+// expire answers those whose callers have no time left.
+func expire(waiting []*acceptance, all bool) []*acceptance {
+	var out []*acceptance
+	for _, a := range waiting {
+		if !all && a.ctx.Err() == nil {
+			out = append(out, a)
+			continue
+		}
+		if a.unsure {
+			a.done <- core.Unknown(core.CodeStore, a.ctx.Err(), "the store has not confirmed the job")
+		} else {
+			r := core.Refuse(core.CodeStore, "the store takes no jobs at present")
+			r.RetryAfter = time.Second
+			a.done <- r
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/vault/vault.go
@@ -0,0 +1,321 @@
+// Package vault lays out in the platform's table what the product records: the
+// accepted jobs and cancellations by name, and the owner's seat with the
+// progress of jobs and the roster of workers in one partition, so that every
+// record of an owner depends on its seat.
+package vault
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/reign"
+	"chicoryturn/io/table"
+)
+
+const (
+	jobTable    = "job"
+	cancelTable = "cancel"
+	fleetTable  = "fleet"
+	progTable   = "progress"
+	// fleetPart holds all that an owner writes.
+	fleetPart = "fleet"
+	seatName  = "seat"
+	// rosterName is the row that lists the workers in use.
+	rosterName = "roster"
+	// parts divides the jobs by name. One partition takes 150 transactions a
+	// second; four carry the arrivals of the largest deployment described.
+	parts = 4
+)
+
+// Store is what the vault needs of the platform's table.
+type Store interface {
+	Write(ctx context.Context, t table.Txn) (version uint64, err error)
+	Read(ctx context.Context, r table.Range) (table.Page, error)
+	Feed(ctx context.Context, s table.Since) (table.Changes, error)
+}
+
+// Vault reads and writes the product's rows.
+type Vault struct {
+	store  Store
+	writes [parts]chan *acceptance
+}
+
+// New returns a vault over a store. Run must be called for jobs to be accepted.
+func New(s Store) *Vault {
+	v := &Vault{store: s}
+	for i := range v.writes {
+		v.writes[i] = make(chan *acceptance, acceptQueue)
+	}
+	return v
+}
+
+// ErrorKind reports whether a call surely had no effect.
+func Refused(err error) bool {
+	var r *table.RefusedError
+	return errors.As(err, &r)
+}
+
+func partOf(id core.JobID) int { return int(xxhash.Sum64String(string(id)) % parts) }
+
+func jobKey(id core.JobID) table.Key {
+	return table.Key{Table: jobTable, Part: partName(partOf(id)), Name: string(id)}
+}
+
+func cancelKey(id core.JobID) table.Key {
+	return table.Key{Table: cancelTable, Part: partName(partOf(id)), Name: string(id)}
+}
+
+func progressKey(id core.JobID) table.Key {
+	return table.Key{Table: progTable, Part: fleetPart, Name: string(id)}
+}
+
+func seatKey() table.Key {
+	return table.Key{Table: fleetTable, Part: fleetPart, Name: seatName}
+}
+
+func rosterKey() table.Key {
+	return table.Key{Table: fleetTable, Part: fleetPart, Name: rosterName}
+}
+
+func partName(i int) string { return "p" + strconv.Itoa(i) }
+
+func encode(k table.Key, val any) (table.Put, error) {
+	text, err := json.Marshal(val)
+	if err != nil {
+		return table.Put{}, &table.FormatError{What: k.Table + "/" + k.Name, Err: err}
+	}
+	return table.Put{Key: k, Val: text}, nil
+}
+
+func decode(r table.Row, val any) error {
+	if err := json.Unmarshal(r.Val, val); err != nil {
+		return &table.FormatError{What: r.Table + "/" + r.Name, Err: err}
+	}
+	return nil
+}
+
+// get reads one row; version 0 means that there is none.
+func (v *Vault) get(ctx context.Context, k table.Key) (table.Row, error) {
+	p, err := v.store.Read(ctx, table.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x01", Limit: 1})
+	if err != nil || len(p.Rows) == 0 {
+		return table.Row{}, err
+	}
+	return p.Rows[0], nil
+}
+
+// Seat reads the owner's row; version 0 means that there is none.
+func (v *Vault) Seat(ctx context.Context) (reign.Seat, uint64, error) {
+	var s reign.Seat
+	r, err := v.get(ctx, seatKey())
+	if err != nil || r.Version == 0 {
+		return s, 0, err
+	}
+	return s, r.Version, decode(r, &s)
+}
+
+// Record is one write of an owner.
+type Record struct {
+	Seat reign.Seat
+	// Version is that of the row that Seat replaces.
+	Version  uint64
+	Progress []jobs.Progress
+	// Roster is written if it is not nil.
+	Roster []board.Host
+}
+
+// Write stores a record on the condition that the seat has not changed.
+func (v *Vault) Write(ctx context.Context, r Record) (uint64, error) {
+	t := table.Txn{Checks: []table.Check{{Key: seatKey(), Version: r.Version}}}
+	rows := map[table.Key]any{seatKey(): r.Seat}
+	if r.Roster != nil {
+		rows[rosterKey()] = r.Roster
+	}
+	for _, p := range r.Progress {
+		rows[progressKey(p.Job)] = p
+	}
+	for k, val := range rows {
+		p, err := encode(k, val)
+		if err != nil {
+			return 0, err
+		}
+		t.Puts = append(t.Puts, p)
+	}
+	return v.store.Write(ctx, t)
+}
+
+// Recorded is all that a new owner takes over.
+type Recorded struct {
+	Specs     []jobs.Spec
+	Progress  map[core.JobID]jobs.Progress
+	Cancelled []core.JobID
+	Roster    []board.Host
+	// Jobs and Cancels are the versions from which the feeds go on.
+	Jobs, Cancels uint64
+	// Unread are rows that could not be read; they are left out.
+	Unread []error
+}
+
+// Load reads all that is recorded.
+func (v *Vault) Load(ctx context.Context) (*Recorded, error) {
+	out := &Recorded{Progress: map[core.JobID]jobs.Progress{}}
+	roster, err := v.get(ctx, rosterKey())
+	if err != nil {
+		return nil, err
+	}
+	if roster.Version > 0 {
+		if err := decode(roster, &out.Roster); err != nil {
+			out.Unread = append(out.Unread, err)
+		}
+	}
+	// Jobs are read before their progress: a job without progress is then one
+	// that had none.
+	first := uint64(0)
+	for p := range parts {
+		version, err := v.scan(ctx, jobTable, partName(p), func(r table.Row) { out.addSpec(r) })
+		if err != nil {
+			return nil, err
+		}
+		if first == 0 || version < first {
+			first = version
+		}
+		if _, err := v.scan(ctx, cancelTable, partName(p), func(r table.Row) { out.Cancelled = append(out.Cancelled, core.JobID(r.Name)) }); err != nil {
+			return nil, err
+		}
+	}
+	out.Jobs, out.Cancels = first, first
+	_, err = v.scan(ctx, progTable, fleetPart, func(r table.Row) { out.addProgress(r) })
+	return out, err
+}
+
+func (r *Recorded) addSpec(row table.Row) {
+	var s jobs.Spec
+	if err := decode(row, &s); err != nil {
+		r.Unread = append(r.Unread, err)
+		return
+	}
+	r.Specs = append(r.Specs, s)
+}
+
+func (r *Recorded) addProgress(row table.Row) {
+	var p jobs.Progress
+	if err := decode(row, &p); err != nil {
+		r.Unread = append(r.Unread, err)
+		return
+	}
+	r.Progress[p.Job] = p
+}
+
+// scan reads all rows of one partition of a table and returns the version from
+// which its feed misses nothing.
+func (v *Vault) scan(ctx context.Context, name, part string, each func(table.Row)) (uint64, error) {
+	first, from := uint64(0), ""
+	for {
+		p, err := v.store.Read(ctx, table.Range{Table: name, Part: part, From: from})
+		if err != nil {
+			return 0, err
+		}
+		if first == 0 {
+			first = p.Version
+		}
+		for _, r := range p.Rows {
+			each(r)
+		}
+		if !p.More || len(p.Rows) == 0 {
+			return first, nil
+		}
+		from = p.Rows[len(p.Rows)-1].Name + "\x01"
+	}
+}
+
+// News are the jobs and cancellations recorded since a version.
+type News struct {
+	Specs     []jobs.Spec
+	Cancelled []core.JobID
+	// Jobs and Cancels are where to go on.
+	Jobs, Cancels uint64
+	Unread        []error
+}
+
+// News reads what VMs have recorded since two versions. It catches what a VM
+// that has died meanwhile could not tell.
+func (v *Vault) News(ctx context.Context, jobsAfter, cancelsAfter uint64) (News, error) {
+	out := News{Jobs: jobsAfter, Cancels: cancelsAfter}
+	ch, err := v.store.Feed(ctx, table.Since{Table: jobTable, Version: jobsAfter})
+	if err != nil {
+		return out, err
+	}
+	var rec Recorded
+	for _, r := range ch.Rows {
+		if !r.Gone {
+			rec.addSpec(r)
+		}
+	}
+	out.Specs, out.Unread, out.Jobs = rec.Specs, rec.Unread, max(ch.Version, jobsAfter)
+	ch, err = v.store.Feed(ctx, table.Since{Table: cancelTable, Version: cancelsAfter})
+	if err != nil {
+		return out, err
+	}
+	for _, r := range ch.Rows {
+		if !r.Gone {
+			out.Cancelled = append(out.Cancelled, core.JobID(r.Name))
+		}
+	}
+	out.Cancels = max(ch.Version, cancelsAfter)
+	return out, nil
+}
+
+// State reads how a job is to be shown, from the record alone.
+func (v *Vault) State(ctx context.Context, id core.JobID) (jobs.State, error) {
+	row, err := v.get(ctx, jobKey(id))
+	if err != nil {
+		return "", err
+	}
+	if row.Version == 0 {
+		return "", core.Refuse(core.CodeNoJob, "there is no job %s", id)
+	}
+	prog, err := v.get(ctx, progressKey(id))
+	if err != nil {
+		return "", err
+	}
+	if prog.Version == 0 {
+		return jobs.Queued, nil
+	}
+	var p jobs.Progress
+	if err := decode(prog, &p); err != nil {
+		return "", err
+	}
+	if p.State != "" {
+		return p.State, nil
+	}
+	return jobs.Running, nil
+}
+
+// Cancel records a cancellation.
+func (v *Vault) Cancel(ctx context.Context, id core.JobID, now time.Time) error {
+	row, err := v.get(ctx, jobKey(id))
+	if err != nil {
+		return err
+	}
+	if row.Version == 0 {
+		return core.Refuse(core.CodeNoJob, "there is no job %s", id)
+	}
+	put, err := encode(cancelKey(id), now)
+	if err != nil {
+		return err
+	}
+	_, err = v.store.Write(ctx, table.Txn{Checks: []table.Check{{Key: cancelKey(id)}}, Puts: []table.Put{put}})
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		// The row exists: the job has been cancelled before.
+		return nil
+	}
+	return err
+}
