Take over without killing or doubling what runs

Cause: a new owner counted leases as ended at the first answer (it knew no lease that it had granted itself), started jobs accepted after its first reading although the former owner had started them, and flooded the placement policy. Change: leases of earlier owners count from the first answer; jobs learned of late are adopted from the workers' lists; calls for advice are handed out only as VMs fall idle; work beyond a team's share comes last; an owner whose address refuses connections is replaced at once.

--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -94,16 +94,20 @@
 	}
 }
 
-// Asking tells that the VM that has accepted a job is asking for its phase.
-func (b *Board) Asking(now time.Time, id jobs.PhaseID) {
+// Asking tells that the VM that has accepted a job is asking for its phase. It
+// returns the expected length of the call, 0 if it is not waited for.
+func (b *Board) Asking(now time.Time, id jobs.PhaseID) time.Duration {
 	b.now = now
 	u := b.unit(id)
 	if u == nil || u.advice.known {
-		return
+		return 0
 	}
-	if p, ok := u.policy().Get(); ok {
-		u.advice.wait(now, p, len(b.byName))
+	p, ok := u.policy().Get()
+	if !ok {
+		return 0
 	}
+	u.advice.wait(now, p, len(b.byName))
+	return p.Cost(min(len(b.byName), askMost))
 }
 
 func (a *advice) wait(now time.Time, p policy.Advice, workers int) {
@@ -127,30 +131,40 @@
 	return core.Option[policy.Advice]{}
 }
 
-// Asks returns the calls for advice that are worth their time now, the most
-// urgent first.
-func (b *Board) Asks(now time.Time) []Ask {
+// Turns are the VMs' turns at the placement policy.
+type Turns interface {
+	// Free reports whether a call of some length would begin soon.
+	Free(cost time.Duration) bool
+	// Take hands a call out.
+	Take(a Ask)
+}
+
+// Ask hands out the calls for advice that are worth their time now, the most
+// urgent first. A call that would only wait is not made: by the time it begins,
+// other work may be more urgent, and room elsewhere.
+func (b *Board) Ask(now time.Time, turns Turns) {
 	b.now = now
-	var out []Ask
+	if !turns.Free(0) {
+		return
+	}
 	for _, u := range b.ranked() {
 		p, ok := u.policy().Get()
-		if !ok || !u.startable() || (!u.advice.asked.IsZero() && now.Before(u.advice.lost)) {
+		if !ok || !u.startable() || (!u.advice.asked.IsZero() && now.Before(u.advice.lost)) || !turns.Free(p.Base) {
 			continue
 		}
-		names := u.worthAsking(p)
+		names := u.worthAsking()
 		if len(names) == 0 {
 			continue
 		}
 		u.advice.wait(now, p, len(names))
 		b.counts.Asks++
-		out = append(out, Ask{Phase: u.id, Workers: names, Cost: p.Cost(len(names))})
+		turns.Take(Ask{Phase: u.id, Workers: names, Cost: p.Cost(len(names))})
 	}
-	return out
 }
 
 // worthAsking returns the workers whose tickets would let tasks start: all of
 // them at first, later those that have room.
-func (u *unit) worthAsking(p policy.Advice) []core.WorkerID {
+func (u *unit) worthAsking() []core.WorkerID {
 	b := u.job.board
 	need := u.need()
 	type chance struct {
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -4,6 +4,7 @@
 package board
 
 import (
+	"slices"
 	"time"
 
 	"chicoryturn/core"
@@ -27,6 +28,9 @@
 type Limits struct {
 	// Lease is the longest time for which a worker goes on without contact.
 	Lease time.Duration
+	// Silence is for how long a worker has been silent, at least, when the
+	// platform drops it from its list.
+	Silence time.Duration
 	// Gang is how long a gang's tasks wait for one another.
 	Gang time.Duration
 	// Remote multiplies run times away from a phase's rack.
@@ -51,11 +55,12 @@
 	timed map[*unit]struct{}
 	// used is what each team holds on workers or may hold on workers that have
 	// not been heard of.
-	used map[core.Team]core.Resources
+	used   map[core.Team]core.Resources
+	shares map[core.Team]*share
 	// held are the recovered tasks that may run on a worker not heard of yet.
 	held map[*Task]struct{}
-	// began is when the owner took over.
-	began time.Time
+	// listedAt is when the list of workers was last read.
+	listedAt time.Time
 	// settled is set once every worker of earlier owners has been heard of.
 	settled bool
 
@@ -74,6 +79,8 @@
 	counts   Counts
 	seq      uint64
 	changed  bool
+	// missed is set when a worker names a job that the board does not know.
+	missed bool
 }
 
 // flown is a job in a record and the state that the record gives it.
@@ -101,10 +108,10 @@
 // New returns an empty board under a new owner's epoch.
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy) *Board {
 	return &Board{
-		epoch: epoch, now: now, began: now, limits: limits, policy: p, guess: cell.NewGuess(),
+		epoch: epoch, now: now, limits: limits, policy: p, guess: cell.NewGuess(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{},
 		open: map[*unit]struct{}{}, timed: map[*unit]struct{}{},
-		used: map[core.Team]core.Resources{}, held: map[*Task]struct{}{}, dirty: map[core.JobID]*Job{},
+		used: map[core.Team]core.Resources{}, shares: map[core.Team]*share{}, held: map[*Task]struct{}{}, dirty: map[core.JobID]*Job{},
 	}
 }
 
@@ -153,14 +160,56 @@
 	if b.jobs[spec.ID] != nil {
 		return false
 	}
-	b.add(spec).openUnits()
+	j := b.add(spec)
+	b.adopt(j)
+	j.openUnits()
 	return true
 }
 
+// adopt finds what an earlier owner, which may have known the job first, has
+// started of it. Until every worker has been heard of it may run anywhere.
+func (b *Board) adopt(j *Job) {
+	started := !b.settled
+	for _, w := range b.byName {
+		for id := range w.foreign {
+			started = started || id.Job == j.Spec.ID
+		}
+	}
+	if !started {
+		return
+	}
+	for _, t := range j.tasks {
+		t.fire(taskRecover)
+	}
+	for _, w := range b.byName {
+		for id, run := range w.foreign {
+			if t := b.task(id); id.Job == j.Spec.ID && t != nil && t.state == taskHeld {
+				t.next, t.run = w, run
+				t.fire(taskFound)
+				delete(w.foreign, id)
+			}
+		}
+	}
+	if b.settled {
+		for _, t := range j.tasks {
+			t.fire(taskClear)
+		}
+	}
+}
+
+// Missed reports, once, whether a worker has named a job that the board does
+// not know.
+func (b *Board) Missed() bool {
+	m := b.missed
+	b.missed = false
+	return m
+}
+
 // Load takes over the recorded jobs. Unless the owner is the first one, every
 // open task may still run somewhere.
 func (b *Board) Load(now time.Time, specs []jobs.Spec, progress map[core.JobID]jobs.Progress) {
 	b.now = now
+	slices.SortFunc(specs, func(x, y jobs.Spec) int { return x.Sent.Compare(y.Sent) })
 	for _, s := range specs {
 		p := progress[s.ID]
 		if b.jobs[s.ID] != nil {
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -28,6 +28,8 @@
 	// seq is the order of arrival.
 	seq     uint64
 	arrived time.Time
+	// beyond is set for work that exceeds the team's share of a full fleet.
+	beyond bool
 }
 
 // unit is one phase of one occurrence.
@@ -72,6 +74,7 @@
 		}
 	}
 	j.left = len(j.units)
+	j.beyond = b.beyond(spec.Team, j.arrived)
 	b.jobs[spec.ID] = j
 	b.changed = true
 	return j
--- a/core/board/place.go
+++ b/core/board/place.go
@@ -42,7 +42,7 @@
 type standing struct {
 	unit *unit
 	// tardy is 0 while the job can end on time, 1 while its end is worth
-	// something, 2 after that.
+	// something, 2 after that or if it exceeds its team's share.
 	tardy    int
 	priority int
 	latest   time.Time
@@ -61,6 +61,8 @@
 		onTime, late := u.job.due()
 		left := b.remaining(u)
 		switch {
+		case u.job.beyond:
+			s.tardy = 2
 		case !b.now.Add(left).After(onTime):
 		case !b.now.Add(left).After(late):
 			s.tardy = 1
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -30,6 +30,12 @@
 	// before it counts as gone: entries that lapse while the store is away are
 	// back within 2 s of its return.
 	vanishWait = 2500 * time.Millisecond
+	// listGap is the longest pause between two readings of the list that still
+	// shows that an entry was missing all the while.
+	listGap = 1500 * time.Millisecond
+	// blockedMost is how long an end waits for its job to be read. A job that is
+	// unknown after several readings has been deleted.
+	blockedMost = 5 * time.Second
 	// brokenRuns is how many runs must fail on a worker in a row before it is
 	// set aside.
 	brokenRuns = 3
@@ -77,9 +83,12 @@
 	free   core.Resources
 	tasks  map[jobs.TaskID]*Task
 	strays []stray
-	// unknown is set while the worker runs tasks of jobs that the board does
-	// not know; nothing is placed there.
-	unknown bool
+	// foreign are runs of jobs that the board has not read yet; nothing is placed
+	// on the worker meanwhile.
+	foreign map[jobs.TaskID]uint64
+	// blocked is since when an end of an unknown job keeps later ends from being
+	// taken in; zero if none does.
+	blocked time.Time
 
 	// clock is the worker's clock as of its last answer, which came at heard.
 	clock time.Duration
@@ -127,6 +136,7 @@
 			w.unlist()
 		}
 	}
+	b.listedAt = now
 	b.dropGone()
 	b.settle()
 	b.changed = true
@@ -136,7 +146,7 @@
 func (b *Board) Recover(hosts []Host) {
 	for _, h := range hosts {
 		if b.workers[core.WorkerID(h.Name)] == nil {
-			b.addWorker(core.WorkerID(h.Name), h).missing = b.now
+			b.addWorker(core.WorkerID(h.Name), h)
 		}
 	}
 }
@@ -183,17 +193,19 @@
 	w.host = h
 }
 
+// unlist follows a list that does not name the worker. One that still answers
+// runs on; one that does not is gone once its lease has surely ended. The
+// platform drops an entry after some silence, and that much of the lease of a
+// worker that this owner has never heard has passed.
 func (w *Worker) unlist() {
 	b := w.board
 	w.listed = false
-	if w.missing.IsZero() {
+	if w.missing.IsZero() || b.now.Sub(b.listedAt) > listGap {
 		w.missing = b.now
 	}
-	if b.now.Sub(w.missing) < vanishWait {
-		return
-	}
-	longest := time.Duration(float64(b.limits.Lease)/slowestClock) + vanishWait
-	if w.state == workerLapsed || w.state == workerFresh && b.now.Sub(b.began) > longest {
+	gone := b.now.Sub(w.missing)
+	left := time.Duration(float64(b.limits.Lease)/slowestClock) - b.limits.Silence
+	if gone >= vanishWait && (w.state == workerLapsed || w.state == workerFresh && gone >= left) {
 		w.fire(workerVanish)
 	}
 }
@@ -218,7 +230,7 @@
 		w.dropStray(s)
 	}
 	w.strays = nil
-	w.unknown = false
+	w.foreign = nil
 }
 
 func (w *Worker) ownTasks() []*Task {
@@ -282,6 +294,10 @@
 		w.reborn(l.Born)
 	}
 	w.born = l.Born
+	if w.heard.IsZero() {
+		// An earlier owner may have granted a full lease up to this answer.
+		w.until = max(w.until, l.Clock+b.limits.Lease)
+	}
 	if l.Clock >= w.clock {
 		w.clock, w.heard = l.Clock, now
 	}
@@ -311,6 +327,10 @@
 		if e.Number <= w.taken {
 			continue
 		}
+		if b.jobs[e.Task.Job] == nil && w.blocks() {
+			break
+		}
+		w.blocked = time.Time{}
 		w.taken = e.Number
 		w.score(e.How)
 		if i := slices.IndexFunc(w.strays, func(s stray) bool { return s.task == e.Task && s.run == e.Run }); i >= 0 {
@@ -330,6 +350,16 @@
 	w.after = b.changes
 }
 
+// blocks reports whether the end of a job that the board has not read must
+// wait: an end that is passed over would be lost, and the task run again.
+func (w *Worker) blocks() bool {
+	w.board.missed = true
+	if w.blocked.IsZero() {
+		w.blocked = w.board.now
+	}
+	return w.board.now.Sub(w.blocked) < blockedMost
+}
+
 // score sets a worker aside that fails all it starts.
 func (w *Worker) score(how End) {
 	switch how {
@@ -350,7 +380,7 @@
 // takeActive reconciles the board with all that runs on the worker.
 func (w *Worker) takeActive(sent time.Time, l Lists) {
 	b := w.board
-	w.unknown = false
+	w.foreign = nil
 	type runID struct {
 		task jobs.TaskID
 		run  uint64
@@ -361,7 +391,11 @@
 		t := b.task(a.Task)
 		switch {
 		case t == nil:
-			w.unknown = true
+			if w.foreign == nil {
+				w.foreign = map[jobs.TaskID]uint64{}
+			}
+			w.foreign[a.Task] = a.Run
+			b.missed = true
 		case t.worker == w && t.run == a.Run:
 			t.fire(taskFound)
 			t.report(a)
@@ -434,8 +468,8 @@
 	}
 }
 
-// Missed follows a hold without answer.
-func (b *Board) Missed(now time.Time, id core.WorkerID) {
+// Silent follows a hold without answer.
+func (b *Board) Silent(now time.Time, id core.WorkerID) {
 	b.now = now
 	w := b.workers[id]
 	if w == nil {
@@ -512,5 +546,5 @@
 
 // usable reports whether tasks may be placed on the worker.
 func (w *Worker) usable() bool {
-	return w.state == workerLive && w.listed && w.recorded && !w.host.Leaving && !w.unknown && !w.board.now.Before(w.aside)
+	return w.state == workerLive && w.listed && w.recorded && !w.host.Leaving && len(w.foreign) == 0 && !w.board.now.Before(w.aside)
 }
--- a/core/reign/reign.go
+++ b/core/reign/reign.go
@@ -17,6 +17,8 @@
 	// before they claim. Owners renew every Renewal, so that three renewals may
 	// be lost or slow.
 	TTL = 2500 * time.Millisecond
+	// SuspectTTL stands for TTL when the owner does not answer its peers either.
+	SuspectTTL = 1500 * time.Millisecond
 	// Renewal is the longest pause between two writes of an owner.
 	Renewal = 700 * time.Millisecond
 	// Look is the pause between two looks at another owner's row.
@@ -82,6 +84,10 @@
 	doubt bool
 	// skew is how far the two clocks were apart at the last check.
 	skew time.Duration
+	// over names an incarnation that is known to have ended.
+	over core.SessionID
+	// suspect names an incarnation that does not answer this process.
+	suspect core.SessionID
 	// frozen is set after a suspension until the row has been confirmed.
 	frozen bool
 }
@@ -147,7 +153,14 @@
 		return false
 	}
 	wait := r.patience
-	if version > 0 && s.Holder != "" {
+	switch {
+	case version == 0 || s.Holder == "":
+	case s.VM == r.me.VM || s.Holder == r.over:
+		// An address is bound by one process at a time: an earlier holder on
+		// this VM has ended.
+	case s.Holder == r.suspect:
+		wait += SuspectTTL
+	default:
 		wait += TTL
 	}
 	if now.Sub(r.changed) < wait {
@@ -157,6 +170,20 @@
 	return r.state == claiming
 }
 
+// Over tells that an incarnation seems to have ended, so that its seat need not
+// be watched before a claim. A wrong hint does no harm but a change of owner:
+// workers obey the later one.
+func (r *Reign) Over(holder core.SessionID) { r.over = holder }
+
+// Suspect tells that an incarnation does not answer this process; an empty name
+// that the owner does.
+func (r *Reign) Suspect(holder core.SessionID) { r.suspect = holder }
+
+// Doubtful reports whether the holder seems to have ended or does not answer.
+func (r *Reign) Doubtful() bool {
+	return r.seat.Holder != "" && (r.seat.Holder == r.over || r.seat.Holder == r.suspect)
+}
+
 // Deposed follows the news of a later owner.
 func (r *Reign) Deposed() {
 	if r.Mine() {
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,41 +34,60 @@
 	Ask(a board.Ask, then func(guide.Result))
 }
 
+// Watch is told whether the owner answers.
+type Watch interface {
+	// SeatLost tells that the stream has ended; over is set if the owner's
+	// incarnation seems to have ended as well.
+	SeatLost(holder core.SessionID, over bool)
+	SeatFound()
+}
+
 // Client keeps a stream to the owner, wherever it is.
 type Client struct {
 	vm, zone string
 	adviser  Adviser
 	log      *logrus.Entry
-	// lost is called when a stream has ended, with the owner perhaps gone.
-	lost func()
+	watch    Watch
 
 	// mu guards what the traffic goroutines share.
 	mu      sync.Mutex
-	target  netip.AddrPort
+	target  Target
 	changed chan struct{}
 	out     chan *wire.Up
 	asked   map[uint64]chan *wire.Reply
 	number  uint64
 }
 
+// Target is one incarnation of the owner.
+type Target struct {
+	Addr    netip.AddrPort
+	Session core.SessionID
+}
+
+// OverError reports that the owner's incarnation has ended.
+type OverError struct{ Reason string }
+
+// Error implements error.
+func (e *OverError) Error() string { return "the owner has ended: " + e.Reason }
+
 // NewClient returns a client without a stream; Run opens one.
-func NewClient(vm, zone string, a Adviser, lost func(), log *logrus.Entry) *Client {
-	return &Client{vm: vm, zone: zone, adviser: a, lost: lost, log: log, changed: make(chan struct{}), asked: map[uint64]chan *wire.Reply{}}
+func NewClient(vm, zone string, a Adviser, w Watch, log *logrus.Entry) *Client {
+	return &Client{vm: vm, zone: zone, adviser: a, watch: w, log: log, changed: make(chan struct{}), asked: map[uint64]chan *wire.Reply{}}
 }
 
 // Follow tells where the owner is; an invalid address means nowhere.
-func (c *Client) Follow(addr netip.AddrPort) {
+func (c *Client) Follow(t Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if addr == c.target {
+	if t == c.target {
 		return
 	}
-	c.target = addr
+	c.target = t
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
-func (c *Client) where() (netip.AddrPort, <-chan struct{}) {
+func (c *Client) where() (Target, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.target, c.changed
@@ -75,18 +96,19 @@
 // Run keeps the stream until the context ends.
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		addr, changed := c.where()
-		if !addr.IsValid() {
+		to, changed := c.where()
+		if !to.Addr.IsValid() {
 			select {
 			case <-ctx.Done():
 			case <-changed:
 			}
 			continue
 		}
-		err := c.join(ctx, addr, changed)
+		err := c.join(ctx, to, changed)
 		if ctx.Err() == nil {
-			c.log.WithError(err).WithField("owner", addr.String()).Info("link ended")
-			c.lost()
+			c.log.WithError(err).WithField("owner", to.Addr.String()).Info("link ended")
+			var over *OverError
+			c.watch.SeatLost(to.Session, errors.As(err, &over))
 		}
 		t := time.NewTimer(redial)
 		select {
@@ -100,15 +122,23 @@
 }
 
 // join opens a stream and serves it until it breaks or the owner changes.
-func (c *Client) join(ctx context.Context, addr netip.AddrPort, changed <-chan struct{}) error {
+func (c *Client) join(ctx context.Context, to Target, changed <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
+	refused := make(chan struct{}, 1)
+	conn, err := grpc.NewClient("passthrough:///"+to.Addr.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithKeepaliveParams(keepAlive),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: dialTime}),
 		grpc.WithContextDialer(func(ctx context.Context, at string) (net.Conn, error) {
 			d := net.Dialer{Timeout: dialTime}
-			return d.DialContext(ctx, "tcp", at)
+			conn, err := d.DialContext(ctx, "tcp", at)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				select {
+				case refused <- struct{}{}:
+				default:
+				}
+			}
+			return conn, err
 		}),
 		grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
 		grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10))
@@ -118,23 +148,28 @@
 	defer conn.Close()
 	stream, err := wire.NewLinkClient(conn).Join(ctx)
 	if err != nil {
-		return err
+		select {
+		case <-refused:
+			return &OverError{"its address refuses connections"}
+		default:
+			return err
+		}
 	}
 	if err := stream.Send(&wire.Up{Kind: &wire.Up_Hello{Hello: &wire.Hello{Vm: c.vm, Zone: c.zone}}}); err != nil {
 		return err
 	}
 	out := make(chan *wire.Up, sendQueue)
-	c.open(out)
-	defer c.shut()
-	c.log.WithField("owner", addr.String()).Info("joined the owner")
 	done := make(chan error, 1)
-	go func() { done <- c.receive(stream) }()
+	go func() { done <- c.receive(stream, to.Session, out) }()
+	defer c.shut()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 			return &ClosedError{"the owner has changed"}
+		case <-refused:
+			return &OverError{"its address refuses connections"}
 		case err := <-done:
 			return err
 		case m := <-out:
@@ -162,7 +197,17 @@
 	}
 }
 
-func (c *Client) receive(stream grpc.BidiStreamingClient[wire.Up, wire.Down]) error {
+func (c *Client) receive(stream grpc.BidiStreamingClient[wire.Up, wire.Down], session core.SessionID, out chan *wire.Up) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.GetSession() != string(session) {
+		return &OverError{"another incarnation answers at its address"}
+	}
+	c.open(out)
+	c.watch.SeatFound()
+	c.log.WithField("owner", string(session)).Info("joined the owner")
 	for {
 		m, err := stream.Recv()
 		if err != nil {
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -28,16 +28,18 @@
 
 type server struct {
 	wire.UnimplementedLinkServer
-	owner Owner
-	log   *logrus.Entry
+	owner   Owner
+	session core.SessionID
+	log     *logrus.Entry
 }
 
-// NewServer returns a grpc server that takes the streams of other VMs.
-func NewServer(o Owner, log *logrus.Entry) *grpc.Server {
+// NewServer returns a grpc server that takes the streams of other VMs. Session
+// names this incarnation.
+func NewServer(o Owner, session core.SessionID, log *logrus.Entry) *grpc.Server {
 	s := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(enforce), grpc.KeepaliveParams(serverAlive),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
 		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))
-	wire.RegisterLinkServer(s, &server{owner: o, log: log})
+	wire.RegisterLinkServer(s, &server{owner: o, session: session, log: log})
 	return s
 }
 
@@ -80,6 +82,9 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	p := &peer{name: first.GetHello().GetVm(), out: make(chan *wire.Down, sendQueue), cancel: cancel}
+	if err := stream.Send(&wire.Down{Kind: &wire.Down_Session{Session: string(s.session)}}); err != nil {
+		return err
+	}
 	s.owner.Join(p)
 	defer s.owner.Part(p)
 	done := make(chan error, 1)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"runtime/debug"
 	"time"
@@ -83,6 +82,7 @@
 // Node is one process.
 type Node struct {
 	settings Settings
+	session  core.SessionID
 	platform Platform
 	log      *logrus.Logger
 	spool    *spool.Spool
@@ -112,11 +112,12 @@
 	n.guide = guide.New(p.Advice)
 	d := &desk{vm: s.VM}
 	n.entry = entry.New(n.vault, d, n.guide, gauge{}, n.part("entry"))
-	me := reign.Seat{Holder: session(s.VM), VM: s.VM, Addr: s.Peers}
+	n.session = session(s.VM)
+	me := reign.Seat{Holder: n.session, VM: s.VM, Addr: s.Peers}
 	n.owner = owner.New(l, n.vault, p.Workers, p.Lists, gauge{}, me, patience(s), s.Limits, n.part("owner"),
 		owner.WithHostsHook(n.entry.SetHosts),
 		owner.WithSeatHook(func(seat reign.Seat, mine bool) { n.follow(d, seat, mine) }))
-	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner.SeatLost, n.part("link"))
+	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, n.part("link"))
 	d.owner, d.link = n.owner, n.link
 	return n
 }
@@ -141,10 +142,10 @@
 func (n *Node) follow(d *desk, seat reign.Seat, mine bool) {
 	d.mine.Store(mine)
 	if mine || seat.Holder == "" {
-		n.link.Follow(netip.AddrPort{})
+		n.link.Follow(link.Target{})
 		return
 	}
-	n.link.Follow(seat.Addr)
+	n.link.Follow(link.Target{Addr: seat.Addr, Session: seat.Holder})
 }
 
 func (n *Node) run(ctx context.Context, stop <-chan struct{}, end context.CancelFunc) error {
@@ -196,7 +197,7 @@
 	if err != nil {
 		return errors.Join(err, callers.Close(), probes.Close(), peers.Close())
 	}
-	rpc := link.NewServer(n.owner, n.part("link"))
+	rpc := link.NewServer(n.owner, n.session, n.part("link"))
 	g.Go(func() error { return rpc.Serve(peers) })
 	g.Go(func() error {
 		<-ctx.Done()
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -64,7 +64,10 @@
 		case r == board.ReplyStranger:
 			o.board.Replaced(now, ord.Worker)
 		default:
-			o.board.Missed(now, ord.Worker)
+			o.board.Silent(now, ord.Worker)
+		}
+		if o.board.Missed() {
+			o.nextNews = now
 		}
 		o.soon(now)
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -268,13 +268,16 @@
 	return 4 * hostsPause
 }
 
-// checkRoster has the list of workers recorded when it has grown.
+// checkRoster has the list of workers recorded when it differs from the one in
+// the store.
 func (o *Owner) checkRoster() {
-	for _, h := range o.board.Roster() {
-		if !o.roster[core.WorkerID(h.Name)] {
-			o.newRoster = o.board.Roster()
-			return
-		}
+	now := o.board.Roster()
+	same := len(now) == len(o.roster)
+	for _, h := range now {
+		same = same && o.roster[core.WorkerID(h.Name)]
+	}
+	if !same {
+		o.newRoster = now
 	}
 }
 
@@ -385,8 +388,11 @@
 			return
 		}
 		o.board.Accept(now, spec)
-		if asking != "" {
-			o.board.Asking(now, jobs.PhaseID{Job: spec.ID})
+		if id := (jobs.PhaseID{Job: spec.ID}); asking != "" {
+			cost := o.board.Asking(now, id)
+			if l := o.peers.byName[asking]; l != nil && cost > 0 {
+				l.lend(now, id, cost)
+			}
 		}
 		o.soon(now)
 	})
--- a/io/owner/peers.go
+++ b/io/owner/peers.go
@@ -16,6 +16,13 @@
 	// longCall is the length from which a call for advice is kept off half of
 	// the VMs, so that short calls need not wait behind it.
 	longCall = 200 * time.Millisecond
+	// ahead is how much work a VM may have before it is given more: enough to
+	// keep it busy over the way between regions and back.
+	ahead = 80 * time.Millisecond
+	// lostAfter times the length of a call, and lostGrace more, is when its
+	// answer is no longer waited for.
+	lostAfter = 4
+	lostGrace = 1500 * time.Millisecond
 )
 
 // Peer is a VM that lends its turn at the placement policy.
@@ -27,67 +34,116 @@
 	Resigned()
 }
 
+// loan is a call that a VM is making.
+type loan struct {
+	cost  time.Duration
+	until time.Time
+}
+
 // lent is what the owner knows of a peer's turn.
 type lent struct {
 	peer Peer
 	// load is the expected length of the calls that have not been answered.
 	load time.Duration
-	asks map[jobs.PhaseID]time.Duration
+	asks map[jobs.PhaseID]loan
 }
 
-// peers are the VMs joined to the owner.
-type peers struct{ byName map[string]*lent }
+// peers are the VMs joined to the owner. It implements board.Turns.
+type peers struct {
+	byName map[string]*lent
+	// list is sorted by name.
+	list []*lent
+	now  time.Time
+}
 
-func newPeers() *peers { return &peers{map[string]*lent{}} }
+func newPeers() *peers { return &peers{byName: map[string]*lent{}} }
+
+func (p *peers) add(peer Peer) {
+	p.drop(peer.Name())
+	l := &lent{peer: peer, asks: map[jobs.PhaseID]loan{}}
+	p.byName[peer.Name()] = l
+	p.list = append(p.list, l)
+	slices.SortFunc(p.list, func(a, b *lent) int { return cmp.Compare(a.peer.Name(), b.peer.Name()) })
+}
+
+func (p *peers) drop(name string) {
+	l := p.byName[name]
+	delete(p.byName, name)
+	p.list = slices.DeleteFunc(p.list, func(o *lent) bool { return o == l })
+}
 
 // forget drops the loads, since their answers will not be taken in.
 func (p *peers) forget() {
-	for _, l := range p.byName {
-		l.load, l.asks = 0, map[jobs.PhaseID]time.Duration{}
+	for _, l := range p.list {
+		l.load, l.asks = 0, map[jobs.PhaseID]loan{}
 	}
 }
 
 func (p *peers) resigned() {
-	for _, l := range p.byName {
+	for _, l := range p.list {
 		l.peer.Resigned()
 	}
 }
 
-func (l *lent) add(id jobs.PhaseID, cost time.Duration) {
-	l.asks[id] = cost
+func (l *lent) lend(now time.Time, id jobs.PhaseID, cost time.Duration) {
+	l.done(id)
+	l.asks[id] = loan{cost, now.Add(lostAfter*cost + lostGrace)}
 	l.load += cost
 }
 
 func (l *lent) done(id jobs.PhaseID) {
-	l.load -= l.asks[id]
+	l.load -= l.asks[id].cost
 	delete(l.asks, id)
 }
 
-// pick returns the peer that would answer a call first. Long calls use only
-// the first half of the peers.
-func (p *peers) pick(cost time.Duration) *lent {
-	list := make([]*lent, 0, len(p.byName))
-	for _, l := range p.byName {
-		list = append(list, l)
+// expire forgets calls whose answers have been lost.
+func (p *peers) expire(now time.Time) {
+	p.now = now
+	for _, l := range p.list {
+		for id, a := range l.asks {
+			if now.After(a.until) {
+				l.done(id)
+			}
+		}
 	}
-	slices.SortFunc(list, func(a, b *lent) int { return cmp.Compare(a.peer.Name(), b.peer.Name()) })
+}
+
+// pick returns the VM that would answer a call first, nil if all are busy.
+// Long calls use only the first half of the VMs.
+func (p *peers) pick(cost time.Duration) *lent {
+	list := p.list
 	if cost >= longCall {
 		list = list[:(len(list)+1)/2]
 	}
 	var best *lent
 	for _, l := range list {
-		if best == nil || l.load <= best.load {
+		// Short calls prefer the later VMs, which make no long ones.
+		if l.load <= ahead && (best == nil || l.load <= best.load) {
 			best = l
 		}
 	}
 	return best
 }
 
+// Free implements board.Turns.
+func (p *peers) Free(cost time.Duration) bool { return p.pick(cost) != nil }
+
+// Take implements board.Turns.
+func (p *peers) Take(a board.Ask) {
+	l := p.pick(a.Cost)
+	if l == nil {
+		// A call may turn out longer than it seemed when its turn was asked for.
+		l = p.pick(0)
+	}
+	l.lend(p.now, a.Phase, a.Cost)
+	l.peer.Advise(a)
+}
+
 // Join adds a VM that lends its turn.
 func (o *Owner) Join(p Peer) {
 	o.post(func(o *Owner, now time.Time) {
 		o.log.WithField("vm", p.Name()).Info("VM joined")
-		o.peers.byName[p.Name()] = &lent{peer: p, asks: map[jobs.PhaseID]time.Duration{}}
+		o.peers.add(p)
 		o.soon(now)
 	})
 }
@@ -100,7 +156,7 @@
 			return
 		}
 		o.log.WithField("vm", p.Name()).Info("VM parted")
-		delete(o.peers.byName, p.Name())
+		o.peers.drop(p.Name())
 		if o.board == nil {
 			return
 		}
@@ -113,14 +169,8 @@
 
 // advise hands the board's calls for advice to the VMs.
 func (o *Owner) advise(now time.Time) {
-	if len(o.peers.byName) == 0 {
-		return
-	}
-	for _, a := range o.board.Asks(now) {
-		l := o.peers.pick(a.Cost)
-		l.add(a.Phase, a.Cost)
-		l.peer.Advise(a)
-	}
+	o.peers.expire(now)
+	o.board.Ask(now, o.peers)
 }
 
 // Advised takes in the result of a call that a VM has made.
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -61,7 +61,7 @@
 		o.write(now)
 	case o.reign.Loading() && !was:
 		o.reload()
-	case !o.reign.Mine() && s.Holder == "":
+	case !o.reign.Mine() && (s.Holder == "" || o.reign.Doubtful()):
 		// The seat is free: look again as soon as it may be claimed.
 		o.nextLook = now.Add(retryPause)
 	}
@@ -78,9 +78,21 @@
 	o.onSeat(s, o.reign.Mine())
 }
 
-// SeatLost has the seat looked at at once, since its owner seems to be gone.
-func (o *Owner) SeatLost() {
-	o.post(func(o *Owner, now time.Time) { o.nextLook = now })
+// SeatLost has the seat looked at at once, since its holder does not answer;
+// over is set if it seems to have ended.
+func (o *Owner) SeatLost(holder core.SessionID, over bool) {
+	o.post(func(o *Owner, now time.Time) {
+		o.nextLook = now
+		o.reign.Suspect(holder)
+		if over {
+			o.reign.Over(holder)
+		}
+	})
+}
+
+// SeatFound tells that the owner answers.
+func (o *Owner) SeatFound() {
+	o.post(func(o *Owner, _ time.Time) { o.reign.Suspect("") })
 }
 
 // dismiss forgets the board after the seat has been lost.
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -8,10 +8,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
 	"chicoryturn/core"
 	"chicoryturn/core/board"
@@ -57,7 +59,7 @@
 	return v
 }
 
-// ErrorKind reports whether a call surely had no effect.
+// Refused reports whether a call surely had no effect.
 func Refused(err error) bool {
 	var r *table.RefusedError
 	return errors.As(err, &r)
@@ -163,35 +165,43 @@
 	Unread []error
 }
 
-// Load reads all that is recorded.
+// Load reads all that is recorded. The partitions are read side by side; the
+// progress is read after the jobs, so that a job without progress had none.
 func (v *Vault) Load(ctx context.Context) (*Recorded, error) {
 	out := &Recorded{Progress: map[core.JobID]jobs.Progress{}}
-	roster, err := v.get(ctx, rosterKey())
-	if err != nil {
-		return nil, err
+	var found [parts]Recorded
+	var versions [parts]uint64
+	g, sub := errgroup.WithContext(ctx)
+	for p := range parts {
+		g.Go(func() error {
+			r := &found[p]
+			version, err := v.scan(sub, jobTable, partName(p), r.addSpec)
+			if err != nil {
+				return err
+			}
+			versions[p] = version
+			_, err = v.scan(sub, cancelTable, partName(p), func(row table.Row) { r.Cancelled = append(r.Cancelled, core.JobID(row.Name)) })
+			return err
+		})
 	}
-	if roster.Version > 0 {
-		if err := decode(roster, &out.Roster); err != nil {
-			out.Unread = append(out.Unread, err)
+	g.Go(func() error {
+		roster, err := v.get(sub, rosterKey())
+		if err == nil && roster.Version > 0 {
+			err = decode(roster, &out.Roster)
 		}
+		return err
+	})
+	if err := g.Wait(); err != nil {
+		return nil, err
 	}
-	// Jobs are read before their progress: a job without progress is then one
-	// that had none.
-	first := uint64(0)
 	for p := range parts {
-		version, err := v.scan(ctx, jobTable, partName(p), func(r table.Row) { out.addSpec(r) })
-		if err != nil {
-			return nil, err
-		}
-		if first == 0 || version < first {
-			first = version
-		}
-		if _, err := v.scan(ctx, cancelTable, partName(p), func(r table.Row) { out.Cancelled = append(out.Cancelled, core.JobID(r.Name)) }); err != nil {
-			return nil, err
-		}
+		out.Specs = append(out.Specs, found[p].Specs...)
+		out.Cancelled = append(out.Cancelled, found[p].Cancelled...)
+		out.Unread = append(out.Unread, found[p].Unread...)
 	}
-	out.Jobs, out.Cancels = first, first
-	_, err = v.scan(ctx, progTable, fleetPart, func(r table.Row) { out.addProgress(r) })
+	out.Jobs = slices.Min(versions[:])
+	out.Cancels = out.Jobs
+	_, err := v.scan(ctx, progTable, fleetPart, out.addProgress)
 	return out, err
 }
 
