--- a/core/board/board.go
+++ b/core/board/board.go
@@ -59,6 +59,8 @@
 	shares map[core.Team]*share
 	// held are the recovered tasks that may run on a worker not heard of yet.
 	held map[*Task]struct{}
+	// roster numbers the changes of the list of workers.
+	roster uint64
 	// listedAt is when the list of workers was last read.
 	listedAt time.Time
 	// settled is set once every worker of earlier owners has been heard of.
@@ -167,9 +169,10 @@
 }
 
 // adopt finds what an earlier owner, which may have known the job first, has
-// started of it. Until every worker has been heard of it may run anywhere.
+// started of it. Until every worker has been heard of, and has had its ends
+// taken in, it may have run anywhere.
 func (b *Board) adopt(j *Job) {
-	started := !b.settled
+	started := !b.settled || b.unheard()
 	for _, w := range b.byName {
 		for id := range w.foreign {
 			started = started || id.Job == j.Spec.ID
@@ -190,11 +193,7 @@
 			}
 		}
 	}
-	if b.settled {
-		for _, t := range j.tasks {
-			t.fire(taskClear)
-		}
-	}
+	b.settle()
 }
 
 // Missed reports, once, whether a worker has named a job that the board does
@@ -346,17 +345,26 @@
 // settle frees the recovered tasks once every worker has been heard of: what
 // no worker has reported runs nowhere.
 func (b *Board) settle() {
-	if b.settled {
+	if b.settled && len(b.held) == 0 || b.unheard() {
 		return
 	}
-	for _, w := range b.byName {
-		if w.state == workerFresh {
-			return
-		}
-	}
 	b.settled = true
+	freed := map[*unit]struct{}{}
 	for t := range b.held {
 		t.fire(taskClear)
+		freed[t.unit] = struct{}{}
+	}
+	for u := range freed {
+		// A gang that lacks a member does not work.
+		if u.phase.Gang && u.live > 0 && !u.won {
+			u.regroup()
+		}
 	}
 	b.changed = true
 }
+
+// unheard reports whether a worker may run, or may have ended, tasks that the
+// board does not know of.
+func (b *Board) unheard() bool {
+	return slices.ContainsFunc(b.byName, func(w *Worker) bool { return w.state == workerFresh || !w.blocked.IsZero() })
+}
--- a/core/board/dump.go
+++ b/core/board/dump.go
@@ -27,9 +27,14 @@
 	Room, Free        core.Resources
 	Tasks, Strays     int
 	Leaving, SetAside bool
-	Heard             string
-	Taken, Acked      uint64
-	Slow              float64
+	// Usable is set if tasks may be placed there, Recorded if the worker is in
+	// the roster in the store.
+	Usable, Recorded bool
+	// Foreign counts the runs of unknown jobs.
+	Foreign      int
+	Heard        string
+	Taken, Acked uint64
+	Slow         float64
 }
 
 // JobDump is one job that has not ended.
@@ -61,6 +66,7 @@
 	for _, w := range b.byName {
 		d.Workers = append(d.Workers, WorkerDump{
 			Worker: w.id, State: workerChart.Name(w.state), Room: w.host.Room, Free: w.free, Tasks: len(w.tasks), Strays: len(w.strays),
+			Usable: w.usable(), Recorded: w.recorded, Foreign: len(w.foreign),
 			Leaving: w.host.Leaving, SetAside: b.now.Before(w.aside), Heard: b.now.Sub(w.heard).Round(time.Millisecond).String(),
 			Taken: w.taken, Acked: w.seen, Slow: w.slow,
 		})
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -126,6 +126,7 @@
 	for _, u := range j.units {
 		if u.left == 0 {
 			j.left--
+			u.won = u.phase.Gang
 		}
 	}
 }
--- a/core/board/task.go
+++ b/core/board/task.go
@@ -91,7 +91,11 @@
 	t.unit.live--
 	t.unit.job.live--
 	b.give(t.unit.job.Spec.Team, t.charge)
-	if t.state == taskWaiting && t.unit.phase.Gang && t.unit.live > 0 {
+	switch {
+	case t.state != taskWaiting || !t.unit.phase.Gang:
+	case t.unit.won:
+		t.fire(taskEndDone)
+	case t.unit.live > 0:
 		t.unit.regroup()
 	}
 }
@@ -116,6 +120,9 @@
 func (t *Task) finish() {
 	u := t.unit
 	u.idle--
+	if u.won {
+		return
+	}
 	u.left--
 	u.job.progress.SetDone(t.position())
 	u.job.touch()
@@ -124,6 +131,25 @@
 	}
 }
 
+// win ends a gang well: the end of one member stands for all. Those that still
+// hold room give it back as their workers list their ends.
+func (u *unit) win() {
+	if u.won {
+		return
+	}
+	u.won, u.left = true, 0
+	for _, t := range u.tasks {
+		u.job.progress.SetDone(t.position())
+	}
+	u.job.touch()
+	u.complete()
+	for _, t := range u.tasks {
+		if t.state == taskWaiting || t.state == taskHeld {
+			t.fire(taskEndDone)
+		}
+	}
+}
+
 // count follows a run that has failed; the run was that of t.failed.
 func (t *Task) count() {
 	u := t.unit
@@ -155,9 +181,6 @@
 func (t *Task) ended(w *Worker, run uint64, how End, saved string) {
 	u, b := t.unit, t.unit.job.board
 	mine := t.worker == w && t.run == run
-	if how == EndDone && u.phase.Gang {
-		u.won = !u.phase.Lasts
-	}
 	if saved != "" {
 		t.keep(run, saved)
 	}
@@ -166,15 +189,16 @@
 		if mine {
 			t.fire(taskCut)
 		}
-	case how == EndDone || (u.won && mine):
-		if !mine && t.worker != nil {
+	case how == EndDone:
+		if mine {
+			t.learn()
+		} else if t.worker != nil {
 			t.detach()
 		}
-		if mine && how == EndDone {
-			t.learn()
+		if u.phase.Gang {
+			u.win()
 		}
 		t.fire(taskEndDone)
-		u.winRest()
 	case how == EndFailed && mine:
 		t.avoidWorker(w.id)
 		t.fire(taskEndFailed)
@@ -194,19 +218,6 @@
 	t.run = max(now, run)
 }
 
-// winRest completes the members of a gang that hold no room; the others follow
-// as their workers list their ends.
-func (u *unit) winRest() {
-	if !u.won {
-		return
-	}
-	for _, t := range u.tasks {
-		if t.state == taskWaiting || t.state == taskHeld {
-			t.fire(taskEndDone)
-		}
-	}
-}
-
 // learn takes the run time into the estimates of the queue.
 func (t *Task) learn() {
 	if t.began.IsZero() || t.saved != "" {
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -55,6 +55,9 @@
 	Born time.Time
 }
 
+// Worker returns the worker's name.
+func (h Host) Worker() core.WorkerID { return core.WorkerID(h.Name) }
+
 // stray is a run that holds room on a worker but is not what the board wants
 // there.
 type stray struct {
@@ -123,7 +126,7 @@
 	b.now = now
 	listed := map[core.WorkerID]bool{}
 	for _, h := range hosts {
-		id := core.WorkerID(h.Name)
+		id := h.Worker()
 		listed[id] = true
 		w := b.workers[id]
 		if w == nil {
@@ -145,12 +148,15 @@
 // Recover adds the workers that an earlier owner may have used.
 func (b *Board) Recover(hosts []Host) {
 	for _, h := range hosts {
-		if b.workers[core.WorkerID(h.Name)] == nil {
-			b.addWorker(core.WorkerID(h.Name), h)
+		if b.workers[h.Worker()] == nil {
+			b.addWorker(h.Worker(), h)
 		}
 	}
 }
 
+// RosterVersion changes whenever the roster does.
+func (b *Board) RosterVersion() uint64 { return b.roster }
+
 // Roster returns the workers that a later owner must hear of before it starts
 // older tasks.
 func (b *Board) Roster() []Host {
@@ -161,11 +167,17 @@
 	return out
 }
 
-// Known tells which workers are in the recorded roster; tasks are placed on no
-// other.
-func (b *Board) Known(roster map[core.WorkerID]bool) {
+// Known tells which incarnations of workers are in the recorded roster. Tasks
+// are placed on no other: an owner that has been replaced unawares can record
+// nothing, and so uses no worker that its successor does not know.
+func (b *Board) Known(roster []Host) {
+	known := make(map[core.WorkerID]time.Time, len(roster))
+	for _, h := range roster {
+		known[h.Worker()] = h.Born
+	}
 	for _, w := range b.byName {
-		w.recorded = roster[w.id]
+		born, ok := known[w.id]
+		w.recorded = ok && born.Equal(w.host.Born)
 	}
 	b.changed = true
 }
@@ -173,6 +185,7 @@
 func (b *Board) addWorker(id core.WorkerID, h Host) *Worker {
 	w := &Worker{id: id, board: b, state: workerChart.Start(), host: h, free: h.Room, tasks: map[jobs.TaskID]*Task{}}
 	b.workers[id] = w
+	b.roster++
 	i, _ := slices.BinarySearchFunc(b.byName, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
 	b.byName = slices.Insert(b.byName, i, w)
 	// A port is bound by one process at a time: another worker at the same
@@ -190,6 +203,10 @@
 	if h.Room != w.host.Room {
 		w.free = w.free.Add(h.Room).Sub(w.host.Room)
 	}
+	if !w.born.IsZero() {
+		// What the worker itself says of its incarnation is newer than the list.
+		h.Born = w.born
+	}
 	w.host = h
 }
 
@@ -214,6 +231,7 @@
 	b.byName = slices.DeleteFunc(b.byName, func(w *Worker) bool {
 		if w.state == workerGone {
 			delete(b.workers, w.id)
+			b.roster++
 		}
 		return w.state == workerGone
 	})
@@ -230,7 +248,7 @@
 		w.dropStray(s)
 	}
 	w.strays = nil
-	w.foreign = nil
+	w.foreign, w.blocked = nil, time.Time{}
 }
 
 func (w *Worker) ownTasks() []*Task {
@@ -291,9 +309,13 @@
 	}
 	w.holding = false
 	if !w.born.IsZero() && !l.Born.Equal(w.born) {
-		w.reborn(l.Born)
+		w.reborn()
 	}
 	w.born = l.Born
+	if !w.host.Born.Equal(l.Born) {
+		w.host.Born = l.Born
+		b.roster++
+	}
 	if w.heard.IsZero() {
 		// An earlier owner may have granted a full lease up to this answer.
 		w.until = max(w.until, l.Clock+b.limits.Lease)
@@ -313,12 +335,12 @@
 
 // reborn follows a new incarnation under the same name: the old one's runs are
 // over and its numbers and clock begin anew.
-func (w *Worker) reborn(born time.Time) {
+func (w *Worker) reborn() {
 	w.cut()
 	w.clock, w.heard, w.until = 0, time.Time{}, 0
 	w.taken, w.seen, w.after = 0, 0, 0
 	w.failed = 0
-	w.host.Born = born
+	w.recorded = false
 }
 
 func (w *Worker) takeEnds(ends []Ended) {
@@ -328,7 +350,8 @@
 			continue
 		}
 		if b.jobs[e.Task.Job] == nil && w.blocks() {
-			break
+			w.after = b.changes
+			return
 		}
 		w.blocked = time.Time{}
 		w.taken = e.Number
@@ -538,10 +561,15 @@
 	}
 }
 
+// orderHold asks for a worker's lists. Only a worker that has answered the last
+// hold is granted more time: a lease sent to a silent one may arrive late, and
+// what runs there would never surely end.
 func (b *Board) orderHold(w *Worker, wait time.Duration) {
-	b.orders = append(b.orders, Order{
-		Kind: OrderHold, Worker: w.id, Host: w.host, Epoch: b.epoch, Until: w.lease(), Seen: w.seen, Wait: wait,
-	})
+	o := Order{Kind: OrderHold, Worker: w.id, Host: w.host, Epoch: b.epoch, Seen: w.seen, Wait: wait}
+	if w.state == workerLive {
+		o.Until = w.lease()
+	}
+	b.orders = append(b.orders, o)
 }
 
 // usable reports whether tasks may be placed on the worker.
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -61,6 +61,7 @@
 			o.board.Stopped(now, ord.Worker, ord.Task, ord.Run, r)
 		case r == board.ReplyDone:
 			o.board.Held(now, ord.Worker, sent, l)
+			o.checkRoster()
 		case r == board.ReplyStranger:
 			o.board.Replaced(now, ord.Worker)
 		default:
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -93,11 +93,12 @@
 	nextWrite, nextPlan               time.Time
 	wroteAt                           time.Time
 	jobsAfter, cancelsAfter           uint64
-	// roster is the number of workers in the roster in the store.
-	roster    map[core.WorkerID]bool
-	newRoster []board.Host
-	leaving   bool
-	left      chan struct{}
+	// newRoster is the list of workers to be recorded, nil if the record is up
+	// to rosterVersion.
+	newRoster     []board.Host
+	rosterVersion uint64
+	leaving       bool
+	left          chan struct{}
 }
 
 // Option changes an owner under construction.
@@ -268,16 +269,10 @@
 	return 4 * hostsPause
 }
 
-// checkRoster has the list of workers recorded when it differs from the one in
-// the store.
+// checkRoster has the list of workers recorded when it has changed.
 func (o *Owner) checkRoster() {
-	now := o.board.Roster()
-	same := len(now) == len(o.roster)
-	for _, h := range now {
-		same = same && o.roster[core.WorkerID(h.Name)]
-	}
-	if !same {
-		o.newRoster = now
+	if v := o.board.RosterVersion(); v != o.rosterVersion {
+		o.rosterVersion, o.newRoster = v, o.board.Roster()
 	}
 }
 
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -102,7 +102,7 @@
 	}
 	o.log.WithFields(logrus.Fields{"epoch": o.board.Epoch(), "because": why}).Warn("no longer the owner")
 	o.board = nil
-	o.roster, o.newRoster = nil, nil
+	o.newRoster, o.rosterVersion = nil, 0
 	o.meter.Own(false)
 	o.peers.forget()
 }
@@ -195,12 +195,11 @@
 	if r == nil {
 		return
 	}
-	o.roster = map[core.WorkerID]bool{}
-	for _, h := range r {
-		o.roster[core.WorkerID(h.Name)] = true
-	}
 	o.newRoster = nil
-	o.board.Known(o.roster)
+	o.board.Known(r)
+	if o.board.RosterVersion() != o.rosterVersion {
+		o.checkRoster()
+	}
 }
 
 // reload reads all that is recorded, after a claim or when the feed of changes
@@ -258,7 +257,7 @@
 	if o.board == nil {
 		o.board = board.New(now, epoch, o.limits, o.policy)
 		o.board.Recover(rec.Roster)
-		o.roster = map[core.WorkerID]bool{}
+		o.newRoster, o.rosterVersion = nil, 0
 		o.meter.Own(true)
 	}
 	o.board.Load(now, rec.Specs, rec.Progress)
