--- /dev/null
+++ b/core/board/takeover_test.go
@@ -0,0 +1,257 @@
+package board_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+)
+
+// desk is a board with workers that the test answers for.
+type desk struct {
+	*board.Board
+	now   time.Time
+	hosts []board.Host
+}
+
+func newDesk(epoch core.Epoch, workers int) *desk {
+	d := &desk{now: dawn, Board: board.New(dawn, epoch, board.Limits{Lease: lease, Silence: 4500 * time.Millisecond, Remote: 1}, rules(core.Resources{}))}
+	for i := range workers {
+		h := host(i)
+		h.Born = dawn.Add(-time.Hour)
+		d.hosts = append(d.hosts, h)
+	}
+	return d
+}
+
+// open makes all workers known and heard.
+func (d *desk) open() {
+	d.SetHosts(d.now, d.hosts)
+	d.Known(d.Roster())
+	for _, h := range d.hosts {
+		d.held(h, nil, nil)
+	}
+}
+
+func (d *desk) held(h board.Host, active []board.Active, ended []board.Ended) {
+	d.Held(d.now, h.Worker(), d.now, board.Lists{Clock: d.now.Sub(dawn), Born: h.Born, Active: active, Ended: ended})
+}
+
+// plan returns the orders of one kind that the board gives now.
+func (d *desk) plan(kind board.OrderKind) []board.Order {
+	d.Plan(d.now)
+	var out []board.Order
+	for _, o := range d.Orders() {
+		if o.Kind == kind {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (d *desk) pass(t time.Duration) { d.now = d.now.Add(t) }
+
+// plain is a job of one phase.
+func plain(id string, count int, gang bool) jobs.Spec {
+	return jobs.Spec{ID: core.JobID(id), Team: "t", Queue: "q", Sent: dawn, Phases: []jobs.Phase{
+		{Count: count, Need: core.Resources{Cores: 1000}, Estimate: time.Second, Gang: gang},
+	}}
+}
+
+func taskOf(id string, index int) jobs.TaskID {
+	return jobs.TaskID{PhaseID: jobs.PhaseID{Job: core.JobID(id)}, Index: index}
+}
+
+// TestSilentWorker plays a worker that is gone for good while the platform
+// still lists it: its task must start elsewhere once the lease has surely
+// ended, and not before.
+func TestSilentWorker(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 2)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	first := d.plan(board.OrderStart)
+	is.Equal(len(first), 1)
+	d.Started(d.now, first[0].Worker, first[0].Task, first[0].Run, board.ReplyDone)
+	for _, h := range d.hosts {
+		if h.Worker() == first[0].Worker {
+			d.Silent(d.now, h.Worker())
+		} else {
+			d.held(h, nil, nil)
+		}
+	}
+	longest := lease*100/98 + 200*time.Millisecond
+	for d.now.Sub(dawn) < longest {
+		d.pass(100 * time.Millisecond)
+		d.SetHosts(d.now, d.hosts)
+		d.Plan(d.now)
+		var starts []board.Order
+		for _, o := range d.Orders() {
+			switch {
+			case o.Kind == board.OrderStart:
+				starts = append(starts, o)
+			case o.Worker == first[0].Worker:
+				d.Silent(d.now, o.Worker)
+			case o.Kind == board.OrderHold:
+				d.held(o.Host, nil, nil)
+			}
+		}
+		if d.now.Sub(dawn) <= lease {
+			is.Equal(len(starts), 0) // the lease may still hold
+		}
+		if len(starts) == 1 {
+			is.True(starts[0].Worker != first[0].Worker)
+			is.True(starts[0].Run > first[0].Run)
+			return
+		}
+	}
+	t.Fatal("the task was not started again")
+}
+
+// TestEndOfUnknownJob plays an end that reaches a new owner before the job
+// does: the task must not run again.
+func TestEndOfUnknownJob(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(2, 2)
+	d.SetHosts(d.now, d.hosts)
+	d.Known(d.Roster())
+	ends := []board.Ended{{Number: 1, Task: taskOf("j", 0), Run: 1, How: board.EndDone, Word: "done"}}
+	d.held(d.hosts[0], nil, ends)
+	d.held(d.hosts[1], nil, nil)
+	is.True(d.Missed()) // the owner is told to read what is recorded
+	d.Accept(d.now, plain("j", 1, false))
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	d.pass(100 * time.Millisecond)
+	d.held(d.hosts[0], nil, ends)
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	is.Equal(len(d.Batch()), 1)
+	d.Recorded(d.now)
+	state, known := d.State("j")
+	is.True(known)
+	is.Equal(state, jobs.Completed)
+}
+
+// TestRunOfUnknownJob plays a run that reaches a new owner before the job does.
+func TestRunOfUnknownJob(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(2, 2)
+	d.SetHosts(d.now, d.hosts)
+	d.Known(d.Roster())
+	d.held(d.hosts[0], []board.Active{{Task: taskOf("j", 0), Run: 1}}, nil)
+	d.held(d.hosts[1], nil, nil)
+	d.Accept(d.now, plain("j", 1, false))
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	state, _ := d.State("j")
+	is.Equal(state, jobs.Running)
+}
+
+// TestRebornWorker plays a worker that starts anew under its name: an owner
+// uses it only once the new incarnation is in the recorded roster.
+func TestRebornWorker(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	old := d.Roster()
+	reborn := d.hosts[0]
+	reborn.Born = d.now
+	d.pass(time.Second)
+	d.held(reborn, nil, nil)
+	d.Accept(d.now, plain("j", 1, false))
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	d.Known(old) // a record that was on its way
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	d.Known(d.Roster())
+	is.Equal(len(d.plan(board.OrderStart)), 1)
+}
+
+// TestGangLacksMember plays a take-over in which one member of a gang runs
+// nowhere: the others are stopped, and the gang starts again as a whole.
+func TestGangLacksMember(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(2, 2)
+	d.Load(d.now, []jobs.Spec{plain("j", 2, true)}, nil)
+	d.SetHosts(d.now, d.hosts)
+	d.Known(d.Roster())
+	d.held(d.hosts[0], []board.Active{{Task: taskOf("j", 0), Run: 1}}, nil)
+	d.held(d.hosts[1], nil, nil)
+	stops := d.plan(board.OrderStop)
+	is.Equal(len(stops), 1)
+	d.Stopped(d.now, stops[0].Worker, stops[0].Task, stops[0].Run, board.ReplyDone)
+	d.pass(300 * time.Millisecond)
+	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: taskOf("j", 0), Run: 1, How: board.EndOther, Word: "stopped"}})
+	starts := d.plan(board.OrderStart)
+	is.Equal(len(starts), 2)
+	is.Equal(starts[0].Run, starts[1].Run)
+	is.True(starts[0].Run > 1)
+}
+
+// TestLeaseOfEarlierOwner plays the first answer of a worker to a new owner:
+// what runs there has been granted a lease that the new owner has not sent.
+func TestLeaseOfEarlierOwner(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(2, 2)
+	d.Load(d.now, []jobs.Spec{plain("j", 1, false)}, nil)
+	d.SetHosts(d.now, d.hosts)
+	d.Known(d.Roster())
+	d.held(d.hosts[0], []board.Active{{Task: taskOf("j", 0), Run: 1}}, nil)
+	d.held(d.hosts[1], nil, nil)
+	for range 3 {
+		d.pass(200 * time.Millisecond)
+		is.Equal(len(d.plan(board.OrderStart)), 0)
+		d.held(d.hosts[1], nil, nil)
+	}
+	is.Equal(d.Counts().Lapses, uint64(0))
+}
+
+// TestUnansweredStart plays a start without answer: the task starts elsewhere
+// only after a stop has been answered and the worker lists nothing of it.
+func TestUnansweredStart(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	s := d.plan(board.OrderStart)[0]
+	d.Started(d.now, s.Worker, s.Task, s.Run, board.ReplyNone)
+	stops := d.plan(board.OrderStop)
+	is.Equal(len(stops), 1)
+	d.pass(50 * time.Millisecond)
+	d.held(d.hosts[0], nil, nil)
+	is.Equal(len(d.plan(board.OrderStart)), 0) // the stop has not been answered
+	d.pass(600 * time.Millisecond)
+	is.Equal(len(d.plan(board.OrderStop)), 1) // and is repeated
+	d.Stopped(d.now, s.Worker, s.Task, s.Run, board.ReplyDone)
+	d.pass(50 * time.Millisecond)
+	d.held(d.hosts[0], nil, nil)
+	again := d.plan(board.OrderStart)
+	is.Equal(len(again), 1)
+	is.True(again[0].Run > s.Run)
+}
+
+// TestAcknowledgement plays an end: the worker may forget it only once it is
+// in the store, and clients are told no sooner.
+func TestAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	s := d.plan(board.OrderStart)[0]
+	d.Started(d.now, s.Worker, s.Task, s.Run, board.ReplyDone)
+	d.pass(time.Second)
+	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+	is.Equal(len(d.Batch()), 1)
+	state, _ := d.State("j")
+	is.Equal(state, jobs.Running)
+	d.pass(1800 * time.Millisecond)
+	holds := d.plan(board.OrderHold)
+	is.Equal(len(holds), 1) // the lease is renewed all the same
+	is.Equal(holds[0].Seen, uint64(0))
+	d.Recorded(d.now)
+	state, _ = d.State("j")
+	is.Equal(state, jobs.Completed)
+	d.held(d.hosts[0], nil, nil)
+	is.Equal(d.plan(board.OrderHold)[0].Seen, uint64(1))
+}
--- /dev/null
+++ b/core/reign/reign_test.go
@@ -0,0 +1,137 @@
+package reign_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core/reign"
+)
+
+var dawn = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return dawn.Add(time.Duration(ms) * time.Millisecond) }
+
+func newReign() *reign.Reign {
+	return reign.New(reign.Seat{Holder: "vm-a/1", VM: "vm-a"}, 0)
+}
+
+// other is the seat of another process.
+func other(beat int) reign.Seat {
+	return reign.Seat{Holder: "vm-b/1", VM: "vm-b", Epoch: 3, Beat: uint64(beat)}
+}
+
+func TestClaimOfEmptySeat(t *testing.T) {
+	is := is.New(t)
+	r := newReign()
+	is.True(r.Looked(at(0), reign.Seat{}, 0))
+	s, version := r.Next()
+	is.Equal(version, uint64(0))
+	is.Equal(uint64(s.Epoch), uint64(1))
+	r.Wrote(at(10), s, 7)
+	is.True(r.Loading())
+	r.Loaded()
+	is.True(r.Owning())
+}
+
+// TestWatch has rows: when the seat was looked at, its version, and whether the
+// process claims.
+func TestWatch(t *testing.T) {
+	type look struct {
+		ms      int
+		version uint64
+		claim   bool
+	}
+	for name, looks := range map[string][]look{
+		"renewed":         {{0, 1, false}, {700, 2, false}, {1400, 3, false}, {2100, 4, false}, {2800, 5, false}},
+		"silent":          {{0, 1, false}, {700, 1, false}, {1400, 1, false}, {2100, 1, false}, {2600, 1, true}},
+		"not looked at":   {{0, 1, false}, {2600, 1, false}, {3300, 1, false}, {4000, 1, false}, {4700, 1, false}, {5200, 1, true}},
+		"renewed at last": {{0, 1, false}, {1400, 1, false}, {2400, 2, false}, {3000, 2, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newReign()
+			for _, l := range looks {
+				is.Equal(r.Looked(at(l.ms), other(int(l.version)), l.version), l.claim)
+			}
+		})
+	}
+}
+
+func TestHints(t *testing.T) {
+	is := is.New(t)
+	r := newReign()
+	is.True(!r.Looked(at(0), other(1), 1))
+	r.Suspect("vm-b/1")
+	is.True(!r.Looked(at(700), other(1), 1))
+	is.True(!r.Looked(at(1400), other(1), 1))
+	is.True(r.Looked(at(1600), other(1), 1)) // it answers neither the store nor its peers
+
+	r = newReign()
+	is.True(!r.Looked(at(0), other(1), 1))
+	r.Over("vm-b/1")
+	is.True(r.Looked(at(100), other(1), 1))
+
+	r = newReign()
+	// An earlier incarnation on this VM cannot live.
+	is.True(r.Looked(at(0), reign.Seat{Holder: "vm-a/0", VM: "vm-a", Epoch: 3}, 1))
+}
+
+func TestLostAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newReign()
+	is.True(r.Looked(at(0), reign.Seat{}, 0))
+	s, _ := r.Next()
+	r.Unsure()
+	is.True(r.Doubt())
+	// The claim took effect after all.
+	is.True(!r.Looked(at(100), s, 5))
+	is.True(r.Loading())
+	r.Loaded()
+	// A renewal without answer; meanwhile another process has claimed.
+	r.Unsure()
+	is.True(!r.Looked(at(200), other(1), 9))
+	is.True(!r.Mine())
+}
+
+// TestStaleRead plays answers that overtake one another: an older row changes
+// nothing.
+func TestStaleRead(t *testing.T) {
+	is := is.New(t)
+	r := newReign()
+	r.Looked(at(0), reign.Seat{}, 0)
+	s, _ := r.Next()
+	r.Wrote(at(10), s, 7)
+	r.Loaded()
+	is.True(!r.Looked(at(20), other(1), 6))
+	is.True(r.Owning())
+}
+
+func TestSuspension(t *testing.T) {
+	is := is.New(t)
+	r := newReign()
+	r.Looked(at(0), reign.Seat{}, 0)
+	s, _ := r.Next()
+	r.Wrote(at(10), s, 7)
+	r.Loaded()
+	is.True(r.Awake(time.Second, time.Second))
+	is.True(!r.Awake(5*time.Second, 2*time.Second))
+	is.True(!r.Awake(6*time.Second, 3*time.Second)) // until the row is confirmed
+	r.Looked(at(3000), s, 7)
+	is.True(r.Awake(7*time.Second, 4*time.Second))
+}
+
+func TestResignedSeat(t *testing.T) {
+	is := is.New(t)
+	r := newReign()
+	free := other(9)
+	free.Holder = ""
+	is.True(r.Looked(at(0), free, 4))
+	s, version := r.Next()
+	is.Equal(version, uint64(4))
+	is.Equal(uint64(s.Epoch), uint64(4))
+	r.Lost()
+	r.Leave()
+	is.True(!r.Looked(at(100), free, 5)) // a process that is stopping claims nothing
+}
