--- a/io/node/node.go
+++ b/io/node/node.go
@@ -50,9 +50,11 @@
 	drainTime = 2600 * time.Millisecond
 	// exitSlack is what is left of the grace period for the exit itself.
 	exitSlack = 700 * time.Millisecond
-	// unhurried is added to the patience of VMs for each part of a core that
-	// they lack, so that the seat goes to a large VM.
-	unhurried = 600 * time.Millisecond
+	// ampleShare is the part of a core from which on a VM claims at once, and
+	// unhurried is how much later one without any would, so that the seat goes to
+	// a large VM.
+	ampleShare = 0.4
+	unhurried  = time.Second
 	// headerTime bounds the time in which a client sends its headers.
 	headerTime = 5 * time.Second
 	// idleTime bounds the time that a connection is kept without a call.
@@ -128,7 +130,7 @@
 
 // patience delays the claims of small VMs.
 func patience(s Settings) time.Duration {
-	return time.Duration(max(1-s.Share, 0) * float64(unhurried))
+	return time.Duration(max(1-s.Share/ampleShare, 0) * float64(unhurried))
 }
 
 func session(vm string) core.SessionID {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -40,7 +40,7 @@
 	Seat(ctx context.Context) (reign.Seat, uint64, error)
 	Write(ctx context.Context, r vault.Record) (uint64, error)
 	Load(ctx context.Context) (*vault.Recorded, error)
-	News(ctx context.Context, jobsAfter, cancelsAfter uint64) (vault.News, error)
+	News(ctx context.Context, after uint64) (vault.Recorded, error)
 }
 
 // Workers carries orders to workers.
@@ -92,7 +92,7 @@
 	nextLook, nextHosts, nextNews     time.Time
 	nextWrite, nextPlan               time.Time
 	wroteAt                           time.Time
-	jobsAfter, cancelsAfter           uint64
+	newsAfter                         uint64
 	// newRoster is the list of workers to be recorded, nil if the record is up
 	// to rosterVersion.
 	newRoster     []board.Host
@@ -282,9 +282,9 @@
 		return
 	}
 	o.asking = true
-	jobsAfter, cancelsAfter, epoch := o.jobsAfter, o.cancelsAfter, o.board.Epoch()
+	after, epoch := o.newsAfter, o.board.Epoch()
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
-		n, err := o.vault.News(ctx, jobsAfter, cancelsAfter)
+		n, err := o.vault.News(ctx, after)
 		return func(o *Owner, now time.Time) {
 			o.asking = false
 			o.nextNews = now.Add(newsPause)
@@ -296,7 +296,7 @@
 	})
 }
 
-func (o *Owner) takeNews(now time.Time, n vault.News, err error) {
+func (o *Owner) takeNews(now time.Time, n vault.Recorded, err error) {
 	if err != nil {
 		o.log.WithError(err).Warn("news not read")
 		if isTrimmed(err) {
@@ -314,7 +314,7 @@
 	for _, e := range n.Unread {
 		o.log.WithError(e).Error("recorded job left out")
 	}
-	o.jobsAfter, o.cancelsAfter = n.Jobs, n.Cancels
+	o.newsAfter = max(o.newsAfter, n.Version)
 	o.soon(now)
 }
 
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -268,7 +268,7 @@
 		o.board.SetHosts(now, o.listed)
 	}
 	o.checkRoster()
-	o.jobsAfter, o.cancelsAfter = rec.Jobs, rec.Cancels
+	o.newsAfter = rec.Version
 	o.nextHosts, o.nextNews, o.nextPlan = now, now, now
 	o.reign.Loaded()
 	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(rec.Specs), "workers": len(o.listed), "took": took.Round(time.Millisecond).String()}).Info("owning the fleet")
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -20,6 +20,9 @@
 	acceptBatch = 50
 	// writeTime bounds one write of accepted jobs.
 	writeTime = 1200 * time.Millisecond
+	// refusedMost is how long a job is offered to a store that refuses it: its
+	// client then learns at once that it has not been taken.
+	refusedMost = 800 * time.Millisecond
 	// againPause is the time before a refused or unanswered write is repeated.
 	againPause = 80 * time.Millisecond
 )
@@ -32,6 +35,7 @@
 	// unsure is set once a write that holds the job had no answer: it may take
 	// effect until a later write has seen the row.
 	unsure bool
+	began  time.Time
 	done   chan error
 }
 
@@ -56,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	a := &acceptance{ctx: ctx, spec: spec, put: put, done: make(chan error, 1)}
+	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan error, 1)}
 	select {
 	case v.writes[partOf(spec.ID)] <- a:
 	default:
@@ -166,11 +170,13 @@
 	return nil
 }
 
-// expire answers those whose callers have no time left.
+// expire answers those whose callers have no time left, or whom the store has
+// only refused.
 func expire(waiting []*acceptance, all bool) []*acceptance {
 	var out []*acceptance
 	for _, a := range waiting {
-		if !all && a.ctx.Err() == nil {
+		over := all || a.ctx.Err() != nil || !a.unsure && time.Since(a.began) > refusedMost
+		if !over {
 			out = append(out, a)
 			continue
 		}
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -8,8 +8,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,18 +23,22 @@
 )
 
 const (
-	jobTable    = "job"
-	cancelTable = "cancel"
-	fleetTable  = "fleet"
-	progTable   = "progress"
+	jobTable   = "job"
+	fleetTable = "fleet"
+	progTable  = "progress"
+	// cancelSuffix marks the row of a cancellation, beside that of its job.
+	cancelSuffix = "/cancel"
 	// fleetPart holds all that an owner writes.
 	fleetPart = "fleet"
 	seatName  = "seat"
 	// rosterName is the row that lists the workers in use.
 	rosterName = "roster"
-	// parts divides the jobs by name. One partition takes 150 transactions a
-	// second; four carry the arrivals of the largest deployment described.
-	parts = 4
+	// parts divides the jobs by name. A partition takes its transactions one
+	// after another, in 8 ms each, and in some 50 times as long when the store is
+	// slow: 64 then carry 150 jobs a second.
+	parts = 64
+	// readers bounds the partitions read side by side.
+	readers = 8
 )
 
 // Store is what the vault needs of the platform's table.
@@ -72,7 +76,7 @@
 }
 
 func cancelKey(id core.JobID) table.Key {
-	return table.Key{Table: cancelTable, Part: partName(partOf(id)), Name: string(id)}
+	return table.Key{Table: jobTable, Part: partName(partOf(id)), Name: string(id) + cancelSuffix}
 }
 
 func progressKey(id core.JobID) table.Key {
@@ -159,8 +163,8 @@
 	Progress  map[core.JobID]jobs.Progress
 	Cancelled []core.JobID
 	Roster    []board.Host
-	// Jobs and Cancels are the versions from which the feeds go on.
-	Jobs, Cancels uint64
+	// Version is where the feed of news goes on.
+	Version uint64
 	// Unread are rows that could not be read; they are left out.
 	Unread []error
 }
@@ -170,17 +174,12 @@
 func (v *Vault) Load(ctx context.Context) (*Recorded, error) {
 	out := &Recorded{Progress: map[core.JobID]jobs.Progress{}}
 	var found [parts]Recorded
-	var versions [parts]uint64
 	g, sub := errgroup.WithContext(ctx)
+	g.SetLimit(readers)
 	for p := range parts {
 		g.Go(func() error {
-			r := &found[p]
-			version, err := v.scan(sub, jobTable, partName(p), r.addSpec)
-			if err != nil {
-				return err
-			}
-			versions[p] = version
-			_, err = v.scan(sub, cancelTable, partName(p), func(row table.Row) { r.Cancelled = append(r.Cancelled, core.JobID(row.Name)) })
+			var err error
+			found[p].Version, err = v.scan(sub, jobTable, partName(p), found[p].addJob)
 			return err
 		})
 	}
@@ -194,18 +193,23 @@
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
-	for p := range parts {
-		out.Specs = append(out.Specs, found[p].Specs...)
-		out.Cancelled = append(out.Cancelled, found[p].Cancelled...)
-		out.Unread = append(out.Unread, found[p].Unread...)
+	out.Version = found[0].Version
+	for _, f := range found {
+		out.Specs = append(out.Specs, f.Specs...)
+		out.Cancelled = append(out.Cancelled, f.Cancelled...)
+		out.Unread = append(out.Unread, f.Unread...)
+		out.Version = min(out.Version, f.Version)
 	}
-	out.Jobs = slices.Min(versions[:])
-	out.Cancels = out.Jobs
 	_, err := v.scan(ctx, progTable, fleetPart, out.addProgress)
 	return out, err
 }
 
-func (r *Recorded) addSpec(row table.Row) {
+// addJob takes in a row of the table of jobs: a job or a cancellation.
+func (r *Recorded) addJob(row table.Row) {
+	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
+		r.Cancelled = append(r.Cancelled, core.JobID(id))
+		return
+	}
 	var s jobs.Spec
 	if err := decode(row, &s); err != nil {
 		r.Unread = append(r.Unread, err)
@@ -245,40 +249,21 @@
 	}
 }
 
-// News are the jobs and cancellations recorded since a version.
-type News struct {
-	Specs     []jobs.Spec
-	Cancelled []core.JobID
-	// Jobs and Cancels are where to go on.
-	Jobs, Cancels uint64
-	Unread        []error
-}
-
-// News reads what VMs have recorded since two versions. It catches what a VM
-// that has died meanwhile could not tell.
-func (v *Vault) News(ctx context.Context, jobsAfter, cancelsAfter uint64) (News, error) {
-	out := News{Jobs: jobsAfter, Cancels: cancelsAfter}
-	ch, err := v.store.Feed(ctx, table.Since{Table: jobTable, Version: jobsAfter})
-	if err != nil {
-		return out, err
-	}
-	var rec Recorded
-	for _, r := range ch.Rows {
-		if !r.Gone {
-			rec.addSpec(r)
-		}
-	}
-	out.Specs, out.Unread, out.Jobs = rec.Specs, rec.Unread, max(ch.Version, jobsAfter)
-	ch, err = v.store.Feed(ctx, table.Since{Table: cancelTable, Version: cancelsAfter})
+// News reads the jobs and cancellations recorded since a version; those that
+// come back go on from its own. It catches what a VM that has died meanwhile
+// could not tell.
+func (v *Vault) News(ctx context.Context, after uint64) (Recorded, error) {
+	out := Recorded{Version: after}
+	ch, err := v.store.Feed(ctx, table.Since{Table: jobTable, Version: after})
 	if err != nil {
 		return out, err
 	}
 	for _, r := range ch.Rows {
 		if !r.Gone {
-			out.Cancelled = append(out.Cancelled, core.JobID(r.Name))
+			out.addJob(r)
 		}
 	}
-	out.Cancels = max(ch.Version, cancelsAfter)
+	out.Version = max(ch.Version, after)
 	return out, nil
 }
 
