--- a/cmd/chicoryturn/node.go
+++ b/cmd/chicoryturn/node.go
@@ -6,6 +6,7 @@
 
 	"chicoryturn/io/entry"
 	"chicoryturn/io/node"
+	"chicoryturn/io/table"
 	"chicoryturn/platform"
 )
 
@@ -24,7 +25,7 @@
 			// left to finish.
 			return node.Run(context.WithoutCancel(ctx), local.Node, node.Platform{
 				Store:   store,
-				Lists:   platform.NewLists(store, local.Zones),
+				Lists:   func(d table.Doer) node.Lists { return platform.NewLists(d, local.Zones) },
 				Workers: platform.NewWorkers(),
 				Advice:  platform.NewAdvice(local.Advice),
 				Callers: func(e *entry.Entry) http.Handler { return platform.Callers(e) },
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -19,6 +19,7 @@
 	"chicoryturn/core/board"
 	"chicoryturn/core/jobs"
 	"chicoryturn/io/guide"
+	"chicoryturn/io/table"
 	"chicoryturn/io/wire"
 )
 
@@ -54,8 +55,9 @@
 	target  Target
 	changed chan struct{}
 	out     chan *wire.Up
-	asked   map[uint64]chan *wire.Reply
-	number  uint64
+
+	asked   *waits[*wire.Reply]
+	carrier *carrier
 }
 
 // Target is one incarnation of the owner.
@@ -70,9 +72,13 @@
 // Error implements error.
 func (e *OverError) Error() string { return "the owner has ended: " + e.Reason }
 
-// NewClient returns a client without a stream; Run opens one.
-func NewClient(vm, zone string, a Adviser, w Watch, log *logrus.Entry) *Client {
-	return &Client{vm: vm, zone: zone, adviser: a, watch: w, log: log, changed: make(chan struct{}), asked: map[uint64]chan *wire.Reply{}}
+// NewClient returns a client without a stream; Run opens one. Direct is the
+// table as this VM reaches it, for calls that it carries out for the owner.
+func NewClient(vm, zone string, a Adviser, w Watch, direct table.Doer, log *logrus.Entry) *Client {
+	return &Client{
+		vm: vm, zone: zone, adviser: a, watch: w, log: log, changed: make(chan struct{}),
+		asked: newWaits[*wire.Reply](), carrier: newCarrier(direct),
+	}
 }
 
 // Follow tells where the owner is; an invalid address means nowhere.
@@ -186,15 +192,13 @@
 	c.out = out
 }
 
-// shut ends all questions that wait.
+// shut ends all that waits for the owner.
 func (c *Client) shut() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.out = nil
-	for n, reply := range c.asked {
-		close(reply)
-		delete(c.asked, n)
-	}
+	c.mu.Unlock()
+	c.asked.close()
+	c.carrier.waits.close()
 }
 
 func (c *Client) receive(stream grpc.BidiStreamingClient[wire.Up, wire.Down], session core.SessionID, out chan *wire.Up) error {
@@ -213,29 +217,36 @@
 		if err != nil {
 			return err
 		}
-		switch k := m.Kind.(type) {
-		case *wire.Down_Advise:
-			a, err := toAsk(k.Advise)
-			if err != nil {
-				c.log.WithError(err).Error("message dropped")
-				continue
-			}
-			c.adviser.Ask(a, c.Advised)
-		case *wire.Down_Reply:
-			c.deliver(k.Reply)
-		case *wire.Down_Resigned:
+		if _, ok := m.Kind.(*wire.Down_Resigned); ok {
 			return &ClosedError{"the owner has resigned"}
 		}
+		if err := c.take(stream.Context(), m); err != nil {
+			c.log.WithError(err).Error("message dropped")
+		}
 	}
 }
 
-func (c *Client) deliver(r *wire.Reply) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ch, ok := c.asked[r.Number]; ok {
-		ch <- r
-		delete(c.asked, r.Number)
+func (c *Client) take(ctx context.Context, m *wire.Down) error {
+	switch k := m.Kind.(type) {
+	case *wire.Down_Advise:
+		a, err := toAsk(k.Advise)
+		if err != nil {
+			return err
+		}
+		c.adviser.Ask(a, c.Advised)
+	case *wire.Down_Reply:
+		c.asked.deliver(k.Reply.Number, k.Reply)
+	case *wire.Down_Carried:
+		return c.carrier.carried(k.Carried)
+	case *wire.Down_Call:
+		return c.carrier.serve(ctx, k.Call, func(r *wire.Carried) { c.send(&wire.Up{Kind: &wire.Up_Carried{Carried: r}}) })
 	}
+	return nil
+}
+
+// Carry implements relay.Carrier: the owner's VM carries out the call.
+func (c *Client) Carry(ctx context.Context, call table.Call) (table.Outcome, error) {
+	return c.carrier.carry(ctx, call, func(m *wire.Call) bool { return c.send(&wire.Up{Kind: &wire.Up_Call{Call: m}}) })
 }
 
 // send reports whether the message was queued; without a stream it is not.
@@ -302,17 +313,9 @@
 func (c *Client) question(ctx context.Context, q *wire.Question) (*wire.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, replyTime)
 	defer cancel()
-	reply := make(chan *wire.Reply, 1)
-	c.mu.Lock()
-	c.number++
-	q.Number = c.number
-	c.asked[q.Number] = reply
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.asked, q.Number)
-	}()
+	n, reply := c.asked.add()
+	defer c.asked.drop(n)
+	q.Number = n
 	if !c.send(&wire.Up{Kind: &wire.Up_Question{Question: q}}) {
 		return nil, &ClosedError{"not joined"}
 	}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -12,6 +14,7 @@
 	"chicoryturn/core/jobs"
 	"chicoryturn/io/guide"
 	"chicoryturn/io/owner"
+	"chicoryturn/io/table"
 	"chicoryturn/io/wire"
 )
 
@@ -30,17 +33,62 @@
 	wire.UnimplementedLinkServer
 	owner   Owner
 	session core.SessionID
+	direct  table.Doer
 	log     *logrus.Entry
+
+	// mu guards the VMs that have joined.
+	mu    sync.Mutex
+	peers []*peer
+	next  int
+}
+
+// Server takes the streams of other VMs.
+type Server struct {
+	*grpc.Server
+	impl *server
 }
 
 // NewServer returns a grpc server that takes the streams of other VMs. Session
-// names this incarnation.
-func NewServer(o Owner, session core.SessionID, log *logrus.Entry) *grpc.Server {
+// names this incarnation, direct is the table as this VM reaches it.
+func NewServer(o Owner, session core.SessionID, direct table.Doer, log *logrus.Entry) *Server {
 	s := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(enforce), grpc.KeepaliveParams(serverAlive),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
 		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))
-	wire.RegisterLinkServer(s, &server{owner: o, session: session, log: log})
-	return s
+	impl := &server{owner: o, session: session, direct: direct, log: log}
+	wire.RegisterLinkServer(s, impl)
+	return &Server{s, impl}
+}
+
+// Carry implements relay.Carrier: one VM that has joined after the other
+// carries out a call.
+func (s *Server) Carry(ctx context.Context, call table.Call) (table.Outcome, error) {
+	p := s.impl.pick()
+	if p == nil {
+		return table.Outcome{}, &table.RelayError{Reason: "no VM has joined"}
+	}
+	return p.carrier.carry(ctx, call, func(m *wire.Call) bool { return p.send(&wire.Down{Kind: &wire.Down_Call{Call: m}}) })
+}
+
+func (s *server) pick() *peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.peers) == 0 {
+		return nil
+	}
+	s.next++
+	return s.peers[s.next%len(s.peers)]
+}
+
+func (s *server) enter(p *peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = append(s.peers, p)
+}
+
+func (s *server) exit(p *peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = slices.DeleteFunc(s.peers, func(o *peer) bool { return o == p })
 }
 
 // peer is a VM that has joined.
@@ -48,7 +96,8 @@
 	name string
 	out  chan *wire.Down
 	// cancel ends the stream.
-	cancel context.CancelFunc
+	cancel  context.CancelFunc
+	carrier *carrier
 }
 
 // Name implements owner.Peer.
@@ -62,11 +111,13 @@
 
 // send never blocks: a VM that does not keep up loses its stream and joins
 // again.
-func (p *peer) send(m *wire.Down) {
+func (p *peer) send(m *wire.Down) bool {
 	select {
 	case p.out <- m:
+		return true
 	default:
 		p.cancel()
+		return false
 	}
 }
 
@@ -81,12 +132,17 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	p := &peer{name: first.GetHello().GetVm(), out: make(chan *wire.Down, sendQueue), cancel: cancel}
+	p := &peer{name: first.GetHello().GetVm(), out: make(chan *wire.Down, sendQueue), cancel: cancel, carrier: newCarrier(s.direct)}
 	if err := stream.Send(&wire.Down{Kind: &wire.Down_Session{Session: string(s.session)}}); err != nil {
 		return err
 	}
 	s.owner.Join(p)
 	defer s.owner.Part(p)
+	s.enter(p)
+	defer func() {
+		s.exit(p)
+		p.carrier.waits.close()
+	}()
 	done := make(chan error, 1)
 	go func() { done <- s.receive(ctx, stream, p) }()
 	for {
@@ -135,6 +191,10 @@
 		s.owner.Advised(p.name, r)
 	case *wire.Up_Cancelled:
 		s.owner.Cancelled(core.JobID(k.Cancelled))
+	case *wire.Up_Carried:
+		return p.carrier.carried(k.Carried)
+	case *wire.Up_Call:
+		return p.carrier.serve(ctx, k.Call, func(r *wire.Carried) { p.send(&wire.Down{Kind: &wire.Down_Carried{Carried: r}}) })
 	case *wire.Up_Question:
 		return s.reply(ctx, p, k.Question)
 	}
--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -10,6 +10,7 @@
 	"chicoryturn/io/guide"
 	"chicoryturn/io/link"
 	"chicoryturn/io/owner"
+	"chicoryturn/io/table"
 )
 
 // desk brings what the entry has for the owner to it: across the link, or
@@ -18,9 +19,18 @@
 	vm    string
 	owner *owner.Owner
 	link  *link.Client
+	rpc   *link.Server
 	mine  atomic.Bool
 }
 
+// Carry implements relay.Carrier.
+func (d *desk) Carry(ctx context.Context, c table.Call) (table.Outcome, error) {
+	if d.mine.Load() {
+		return d.rpc.Carry(ctx, c)
+	}
+	return d.link.Carry(ctx, c)
+}
+
 // Accepted implements entry.Link.
 func (d *desk) Accepted(spec jobs.Spec, asking bool) {
 	if !d.mine.Load() {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"chicoryturn/io/loop"
 	"chicoryturn/io/owner"
 	"chicoryturn/io/proc"
+	"chicoryturn/io/relay"
 	"chicoryturn/io/spool"
 	"chicoryturn/io/table"
 	"chicoryturn/io/vault"
@@ -73,8 +74,10 @@
 
 // Platform is all that a process needs of the outside.
 type Platform struct {
-	Store   vault.Store
-	Lists   Lists
+	// Store is the table as this VM reaches it.
+	Store table.Doer
+	// Lists makes a reader of the platform's lists over a table.
+	Lists   func(table.Doer) Lists
 	Workers owner.Workers
 	Advice  guide.Policy
 	// Callers and Probes make the handlers of the process's doors.
@@ -91,6 +94,8 @@
 	entry    *entry.Entry
 	owner    *owner.Owner
 	link     *link.Client
+	rpc      *link.Server
+	lists    Lists
 	guide    *guide.Guide
 	vault    *vault.Vault
 }
@@ -110,17 +115,19 @@
 	if level, err := logrus.ParseLevel(s.Level); err == nil {
 		n.log.SetLevel(level)
 	}
-	n.vault = vault.New(p.Store)
 	n.guide = guide.New(p.Advice)
 	d := &desk{vm: s.VM}
+	store := relay.New(p.Store, d)
+	n.vault, n.lists = vault.New(store), p.Lists(store)
 	n.entry = entry.New(n.vault, d, n.guide, gauge{}, n.part("entry"))
 	n.session = session(s.VM)
 	me := reign.Seat{Holder: n.session, VM: s.VM, Addr: s.Peers}
-	n.owner = owner.New(l, n.vault, p.Workers, p.Lists, gauge{}, me, patience(s), s.Limits, n.part("owner"),
+	n.owner = owner.New(l, n.vault, p.Workers, n.lists, gauge{}, me, patience(s), s.Limits, n.part("owner"),
 		owner.WithHostsHook(n.entry.SetHosts),
 		owner.WithSeatHook(func(seat reign.Seat, mine bool) { n.follow(d, seat, mine) }))
-	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, n.part("link"))
-	d.owner, d.link = n.owner, n.link
+	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, p.Store, n.part("link"))
+	n.rpc = link.NewServer(n.owner, n.session, p.Store, n.part("link"))
+	d.owner, d.link, d.rpc = n.owner, n.link, n.rpc
 	return n
 }
 
@@ -199,11 +206,10 @@
 	if err != nil {
 		return errors.Join(err, callers.Close(), probes.Close(), peers.Close())
 	}
-	rpc := link.NewServer(n.owner, n.session, n.part("link"))
-	g.Go(func() error { return rpc.Serve(peers) })
+	g.Go(func() error { return n.rpc.Serve(peers) })
 	g.Go(func() error {
 		<-ctx.Done()
-		rpc.Stop()
+		n.rpc.Stop()
 		return nil
 	})
 	door := n.httpServer(ctx, g, callers, n.platform.Callers(n.entry))
@@ -271,7 +277,7 @@
 func (n *Node) watchPolicy(ctx context.Context) error {
 	log := n.part("config")
 	for ctx.Err() == nil {
-		p, version, err := n.platform.Lists.Policy(ctx)
+		p, version, err := n.lists.Policy(ctx)
 		if err != nil {
 			log.WithError(err).Warn("configuration not read")
 			wait(ctx, policyPause)
@@ -279,7 +285,7 @@
 		}
 		n.setPolicy(p)
 		for ctx.Err() == nil {
-			p, version, err = n.platform.Lists.Changed(ctx, version, policyWait)
+			p, version, err = n.lists.Changed(ctx, version, policyWait)
 			if err != nil {
 				var trimmed *table.TrimmedError
 				if !errors.As(err, &trimmed) {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -23,9 +23,11 @@
 	// hostsPause is the time between two readings of the list of workers. A
 	// leaving worker must get no more work after 2.5 s.
 	hostsPause = 500 * time.Millisecond
-	// newsPause is the time between two readings of what VMs have recorded; a
-	// VM that lives tells the owner at once.
-	newsPause = time.Second
+	// newsLeast and newsMost bound the time between two readings of what VMs
+	// have recorded. A VM that reaches the owner tells it at once; while jobs come
+	// from VMs that do not, the store is read more often.
+	newsLeast = 150 * time.Millisecond
+	newsMost  = time.Second
 	// recordPause keeps the ends of one moment in one write.
 	recordPause = 5 * time.Millisecond
 	// retryPause is the time before a refused write or read is repeated.
@@ -93,6 +95,7 @@
 	nextWrite, nextPlan               time.Time
 	wroteAt                           time.Time
 	newsAfter                         uint64
+	newsPause                         time.Duration
 	// newRoster is the list of workers to be recorded, nil if the record is up
 	// to rosterVersion.
 	newRoster     []board.Host
@@ -287,7 +290,7 @@
 		n, err := o.vault.News(ctx, after)
 		return func(o *Owner, now time.Time) {
 			o.asking = false
-			o.nextNews = now.Add(newsPause)
+			o.nextNews = now.Add(o.newsPause)
 			if o.board == nil || o.board.Epoch() != epoch {
 				return
 			}
@@ -303,8 +306,10 @@
 			o.reload()
 		}
 	}
+	o.newsPause = min(2*o.newsPause, newsMost)
 	for _, s := range n.Specs {
 		if o.board.Accept(now, s) {
+			o.newsPause = newsLeast
 			o.log.WithFields(logrus.Fields{"job": s.ID, "queue": s.Queue}).Info("job found in the store")
 		}
 	}
--- /dev/null
+++ b/io/relay/relay.go
@@ -0,0 +1,165 @@
+// Package relay reaches the platform's table through another VM while the
+// table turns this one away.
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"chicoryturn/io/table"
+)
+
+const (
+	// detour is how long calls go through another VM after a direct one has
+	// failed; then a direct one is tried again.
+	detour = time.Second
+	// quick bounds the direct call that is tried while others take the detour.
+	quick = 300 * time.Millisecond
+)
+
+// Carrier has another VM carry out a call. The error is a RelayError if none
+// could be asked.
+type Carrier interface {
+	Carry(ctx context.Context, c table.Call) (table.Outcome, error)
+}
+
+// Store is the table, reached directly or through another VM.
+type Store struct {
+	direct  table.Doer
+	carrier Carrier
+	clock   func() time.Time
+
+	// mu guards what the traffic goroutines share.
+	mu sync.Mutex
+	// until is how long calls take the detour; it is zero while direct calls
+	// are answered.
+	until time.Time
+	// Relayed counts the calls carried out by other VMs.
+	relayed uint64
+}
+
+// Option changes a store under construction.
+type Option func(*Store)
+
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option { return func(s *Store) { s.clock = now } }
+
+// New returns a store that calls directly while it can.
+func New(direct table.Doer, c Carrier, opts ...Option) *Store {
+	s := &Store{direct: direct, carrier: c, clock: time.Now}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Relayed returns how many calls other VMs have carried out.
+func (s *Store) Relayed() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relayed
+}
+
+// route says whether the next call goes directly, and whether it is the one
+// that tries whether direct calls are answered again.
+func (s *Store) route() (direct, trial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	switch {
+	case s.until.IsZero():
+		return true, false
+	case now.Before(s.until):
+		return false, false
+	}
+	// Others take the detour until the trial has ended.
+	s.until = now.Add(detour)
+	return true, true
+}
+
+// learn takes in the result of a direct call.
+func (s *Store) learn(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if turnedAway(err) {
+		s.until = s.clock().Add(detour)
+	} else {
+		s.until = time.Time{}
+	}
+}
+
+// turnedAway reports whether the table has not dealt with a call.
+func turnedAway(err error) bool {
+	var refused *table.RefusedError
+	var down *table.DownError
+	return errors.As(err, &refused) || errors.As(err, &down)
+}
+
+// do carries out a call on one of the two ways. A call that was surely refused
+// directly is carried on at once; one without answer is left to its caller,
+// which must first learn what has become of it.
+func (s *Store) do(ctx context.Context, c table.Call) table.Outcome {
+	direct, trial := s.route()
+	if direct {
+		sub, cancel := ctx, context.CancelFunc(func() {})
+		if trial && c.Write == nil {
+			sub, cancel = context.WithTimeout(ctx, quick)
+		}
+		o := table.Do(sub, s.direct, c)
+		cancel()
+		err := o.Err()
+		s.learn(err)
+		if !turnedAway(err) || o.Down != "" && !trial {
+			return o
+		}
+		if o.Down != "" && c.Write != nil {
+			return o
+		}
+		if other, err := s.carry(ctx, c); err == nil {
+			return other
+		}
+		return o
+	}
+	o, err := s.carry(ctx, c)
+	if err != nil {
+		o = table.Do(ctx, s.direct, c)
+		s.learn(o.Err())
+	}
+	return o
+}
+
+func (s *Store) carry(ctx context.Context, c table.Call) (table.Outcome, error) {
+	o, err := s.carrier.Carry(ctx, c)
+	if err == nil {
+		s.mu.Lock()
+		s.relayed++
+		s.mu.Unlock()
+	}
+	return o, err
+}
+
+// Write implements table.Doer.
+func (s *Store) Write(ctx context.Context, t table.Txn) (uint64, error) {
+	o := s.do(ctx, table.Call{Write: &t})
+	return o.Version, o.Err()
+}
+
+// Read implements table.Doer.
+func (s *Store) Read(ctx context.Context, r table.Range) (table.Page, error) {
+	o := s.do(ctx, table.Call{Read: &r})
+	if err := o.Err(); err != nil {
+		return table.Page{}, err
+	}
+	return *o.Page, nil
+}
+
+// Feed implements table.Doer.
+func (s *Store) Feed(ctx context.Context, f table.Since) (table.Changes, error) {
+	o := s.do(ctx, table.Call{Feed: &f})
+	if err := o.Err(); err != nil {
+		return table.Changes{}, err
+	}
+	return *o.Changes, nil
+}
--- /dev/null
+++ b/io/relay/relay_test.go
@@ -0,0 +1,133 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/io/relay"
+	"chicoryturn/io/table"
+)
+
+// fake is a table that answers with an error, or with a version.
+type fake struct {
+	err     error
+	version uint64
+	calls   int
+}
+
+func (f *fake) Write(context.Context, table.Txn) (uint64, error) {
+	f.calls++
+	return f.version, f.err
+}
+
+func (f *fake) Read(context.Context, table.Range) (table.Page, error) {
+	f.calls++
+	return table.Page{Version: f.version}, f.err
+}
+
+func (f *fake) Feed(context.Context, table.Since) (table.Changes, error) {
+	f.calls++
+	return table.Changes{Version: f.version}, f.err
+}
+
+// other is another VM, reached by JSON as over a link.
+type other struct {
+	table *fake
+	gone  bool
+}
+
+func (o *other) Carry(ctx context.Context, c table.Call) (table.Outcome, error) {
+	if o.gone {
+		return table.Outcome{}, &table.RelayError{Reason: "gone"}
+	}
+	var call table.Call
+	var out table.Outcome
+	if err := pass(c, &call); err != nil {
+		return out, err
+	}
+	return out, pass(table.Do(ctx, o.table, call), &out)
+}
+
+func pass(from, to any) error {
+	text, err := json.Marshal(from)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, to)
+}
+
+func TestDetour(t *testing.T) {
+	ctx := context.Background()
+	refused, down := &table.RefusedError{Status: 503}, &table.DownError{Err: context.DeadlineExceeded}
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+	t.Run("refused here, answered there", func(t *testing.T) {
+		is := is.New(t)
+		direct, there := &fake{err: refused}, &other{table: &fake{version: 7}}
+		s := relay.New(direct, there, relay.WithClock(func() time.Time { return now }))
+		v, err := s.Write(ctx, table.Txn{})
+		is.NoErr(err)
+		is.Equal(v, uint64(7))
+		// Further calls do not try this VM's way for a while.
+		_, err = s.Read(ctx, table.Range{})
+		is.NoErr(err)
+		is.Equal(direct.calls, 1)
+		now = now.Add(2 * time.Second)
+		direct.err, direct.version = nil, 9
+		p, err := s.Read(ctx, table.Range{})
+		is.NoErr(err)
+		is.Equal(p.Version, uint64(9))
+		is.Equal(s.Relayed(), uint64(2))
+	})
+	t.Run("a write without answer is left to its caller", func(t *testing.T) {
+		is := is.New(t)
+		there := &other{table: &fake{version: 7}}
+		s := relay.New(&fake{err: down}, there)
+		_, err := s.Write(ctx, table.Txn{})
+		var d *table.DownError
+		is.True(errors.As(err, &d))
+		is.Equal(there.table.calls, 0)
+		_, err = s.Write(ctx, table.Txn{}) // the next one takes the detour
+		is.NoErr(err)
+	})
+	t.Run("refused everywhere", func(t *testing.T) {
+		is := is.New(t)
+		s := relay.New(&fake{err: refused}, &other{table: &fake{err: refused}})
+		_, err := s.Write(ctx, table.Txn{})
+		var r *table.RefusedError
+		is.True(errors.As(err, &r))
+		is.Equal(r.Status, 503)
+	})
+	t.Run("conflicts and trimmed feeds keep their types", func(t *testing.T) {
+		is := is.New(t)
+		row := table.Row{Key: table.Key{Table: "t", Part: "p", Name: "n"}, Version: 4, Val: []byte("x")}
+		far := &fake{err: &table.ConflictError{Rows: []table.Row{row}}}
+		s := relay.New(&fake{err: refused}, &other{table: far})
+		_, err := s.Write(ctx, table.Txn{})
+		var c *table.ConflictError
+		is.True(errors.As(err, &c))
+		found, ok := c.Find(row.Key)
+		is.True(ok)
+		is.Equal(string(found.Val), "x")
+		far.err = &table.TrimmedError{Version: 3}
+		_, err = s.Feed(ctx, table.Since{})
+		var tr *table.TrimmedError
+		is.True(errors.As(err, &tr))
+	})
+	t.Run("nobody else", func(t *testing.T) {
+		is := is.New(t)
+		direct := &fake{version: 3}
+		s := relay.New(direct, &other{gone: true})
+		direct.err = refused
+		_, err := s.Write(ctx, table.Txn{})
+		is.True(err != nil)
+		direct.err = nil
+		_, err = s.Write(ctx, table.Txn{}) // no detour: the direct way is tried at once
+		is.NoErr(err)
+	})
+}
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -41,21 +41,14 @@
 	readers = 8
 )
 
-// Store is what the vault needs of the platform's table.
-type Store interface {
-	Write(ctx context.Context, t table.Txn) (version uint64, err error)
-	Read(ctx context.Context, r table.Range) (table.Page, error)
-	Feed(ctx context.Context, s table.Since) (table.Changes, error)
-}
-
 // Vault reads and writes the product's rows.
 type Vault struct {
-	store  Store
+	store  table.Doer
 	writes [parts]chan *acceptance
 }
 
 // New returns a vault over a store. Run must be called for jobs to be accepted.
-func New(s Store) *Vault {
+func New(s table.Doer) *Vault {
 	v := &Vault{store: s}
 	for i := range v.writes {
 		v.writes[i] = make(chan *acceptance, acceptQueue)
