Tell the age of the seat by the store's clock

Cause: a watcher knew since when the seat had not changed only from its own looks, 0.7 s apart, and waited 1.5 s more although its link to the owner was dead. Change: each write carries the store's clock as its writer estimates it; after a failed look the clock does not count.

--- a/core/reign/reign.go
+++ b/core/reign/reign.go
@@ -18,14 +18,17 @@
 	// be lost or slow.
 	TTL = 2500 * time.Millisecond
 	// SuspectTTL stands for TTL when the owner does not answer its peers either.
-	SuspectTTL = 1500 * time.Millisecond
+	SuspectTTL = 1200 * time.Millisecond
 	// Renewal is the longest pause between two writes of an owner.
 	Renewal = 700 * time.Millisecond
-	// Look is the pause between two looks at another owner's row.
-	Look = 700 * time.Millisecond
+	// Pause is the time between two looks at another owner's row.
+	Pause = 700 * time.Millisecond
 	// blind is the longest pause between two successful looks that still counts
 	// as having watched the row all the while.
 	blind = 1500 * time.Millisecond
+	// dimmed is how long after a failed look the store's clock does not tell the
+	// age of the row: the owner may have been unable to write as well.
+	dimmed = 3 * time.Second
 	// thaw is by how much the clock that counts suspended time may run ahead of
 	// the one that does not before an owner must confirm its row.
 	thaw = 250 * time.Millisecond
@@ -64,6 +67,17 @@
 	// Epoch numbers the owners, Beat the writes of one owner.
 	Epoch core.Epoch
 	Beat  uint64
+	// Stamp is the store's clock when the row was written, as its writer
+	// estimates it; 0 if it does not know.
+	Stamp time.Duration
+}
+
+// Look is the row as read from the store.
+type Look struct {
+	Seat Seat
+	// Version is 0 if there is no row; Clock is the store's clock.
+	Version uint64
+	Clock   time.Duration
 }
 
 // Reign follows the seat as one process sees it.
@@ -77,6 +91,11 @@
 	// changed is when the row was first seen as it is, looked when it was last
 	// read.
 	changed, looked time.Time
+	// failed is when a look last failed.
+	failed time.Time
+	// clock is the store's clock as last heard, at clockAt.
+	clock   time.Duration
+	clockAt time.Time
 	// patience is added to the time before a claim; the process best suited to
 	// own has the least.
 	patience time.Duration
@@ -121,12 +140,40 @@
 // SetPatience changes the delay of claims.
 func (r *Reign) SetPatience(p time.Duration) { r.patience = p }
 
-// Looked takes in the row as read at a time; version 0 means that there is
-// none. It reports whether the process should claim now.
-func (r *Reign) Looked(now time.Time, s Seat, version uint64) bool {
+// Failed follows a look without result.
+func (r *Reign) Failed(now time.Time) { r.failed = now }
+
+// age returns how long the row has not changed, as far as is known.
+func (r *Reign) age(now time.Time) time.Duration {
+	age := now.Sub(r.changed)
+	if r.seat.Stamp > 0 && now.Sub(r.failed) > dimmed {
+		age = max(age, r.clock-r.seat.Stamp)
+	}
+	return age
+}
+
+func (r *Reign) setClock(now time.Time, clock time.Duration) {
+	if clock > 0 {
+		r.clock, r.clockAt = clock, now
+	}
+}
+
+// stamp estimates the store's clock.
+func (r *Reign) stamp(now time.Time) time.Duration {
+	if r.clock == 0 {
+		return 0
+	}
+	return r.clock + now.Sub(r.clockAt)
+}
+
+// Looked takes in the row as read at a time. It reports whether the process
+// should claim now.
+func (r *Reign) Looked(now time.Time, l Look) bool {
+	s, version := l.Seat, l.Version
 	if version < r.version {
 		return false
 	}
+	r.setClock(now, l.Clock)
 	mine := s.Holder == r.me.Holder
 	// Whatever a write without an answer has done shows in the row.
 	r.doubt = false
@@ -163,7 +210,7 @@
 	default:
 		wait += TTL
 	}
-	if now.Sub(r.changed) < wait {
+	if r.age(now) < wait {
 		return false
 	}
 	r.fire(vacant)
@@ -193,8 +240,9 @@
 }
 
 // Next returns the row to write next: a claim or a renewal.
-func (r *Reign) Next() (Seat, uint64) {
+func (r *Reign) Next(now time.Time) (Seat, uint64) {
 	s := r.me
+	s.Stamp = r.stamp(now)
 	s.Epoch, s.Beat = r.seat.Epoch, r.seat.Beat+1
 	if !r.Mine() {
 		s.Epoch, s.Beat = r.seat.Epoch+1, 1
@@ -209,8 +257,9 @@
 	return s, r.version
 }
 
-// Wrote follows a write that has taken effect.
-func (r *Reign) Wrote(now time.Time, s Seat, version uint64) {
+// Wrote follows a write that has taken effect; clock is the store's.
+func (r *Reign) Wrote(now time.Time, s Seat, version uint64, clock time.Duration) {
+	r.setClock(now, clock)
 	r.seat, r.version, r.looked, r.changed, r.doubt, r.frozen = s, version, now, now, false, false
 	r.fire(won)
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -22,7 +22,7 @@
 	// allows no shorter pause than 10 s between pings of a client, so the user
 	// timeout of TCP, which aliveWithin also sets, does most of it.
 	aliveEvery  = 10 * time.Second
-	aliveWithin = 1500 * time.Millisecond
+	aliveWithin = time.Second
 	// sendQueue bounds the messages that wait for a stream.
 	sendQueue = 512
 	// replyTime bounds the wait for the owner's reply to a question.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -16,6 +16,7 @@
 	"chicoryturn/core/reign"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/loop"
+	"chicoryturn/io/table"
 	"chicoryturn/io/vault"
 )
 
@@ -39,8 +40,8 @@
 
 // Vault is what the owner reads and writes.
 type Vault interface {
-	Seat(ctx context.Context) (reign.Seat, uint64, error)
-	Write(ctx context.Context, r vault.Record) (uint64, error)
+	Seat(ctx context.Context) (reign.Look, error)
+	Write(ctx context.Context, r vault.Record) (table.Done, error)
 	Load(ctx context.Context) (*vault.Recorded, error)
 	News(ctx context.Context, after uint64) (vault.Recorded, error)
 }
@@ -182,7 +183,7 @@
 	awake := o.reign.Awake(clock.Counting(), clock.Steady())
 	o.look(now)
 	o.list(now)
-	next := now.Add(reign.Look)
+	next := now.Add(reign.Pause)
 	if o.board != nil && awake && !o.leaving {
 		o.news(now)
 		if !now.Before(o.nextPlan) {
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -32,31 +32,33 @@
 	o.reading = true
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
 		began := time.Now()
-		s, version, err := o.vault.Seat(ctx)
+		l, err := o.vault.Seat(ctx)
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.reading = false
-			o.nextLook = now.Add(reign.Look)
+			o.nextLook = now.Add(reign.Pause)
 			if err != nil {
 				o.nextLook = now.Add(retryPause)
+				o.reign.Failed(now)
 				o.log.WithError(err).Warn("seat not read")
 				return
 			}
-			o.looked(now, s, version, took)
+			o.looked(now, l, took)
 		}
 	})
 }
 
-func (o *Owner) looked(now time.Time, s reign.Seat, version uint64, took time.Duration) {
+func (o *Owner) looked(now time.Time, l reign.Look, took time.Duration) {
 	was := o.reign.Mine()
-	claim := o.reign.Looked(now, s, version)
+	s := l.Seat
+	claim := o.reign.Looked(now, l)
 	if was && !o.reign.Mine() {
 		o.dismiss("the seat has another holder")
 	}
 	o.tellSeat()
 	switch {
 	case claim:
-		o.log.WithFields(logrus.Fields{"epoch": s.Epoch + 1, "last": s.VM, "version": version, "took": took.String()}).Info("claiming the seat")
+		o.log.WithFields(logrus.Fields{"epoch": s.Epoch + 1, "last": s.VM, "version": l.Version, "took": took.String()}).Info("claiming the seat")
 		o.nextWrite = now
 		o.write(now)
 	case o.reign.Loading() && !was:
@@ -123,7 +125,7 @@
 	if !claiming && !o.reign.Mine() {
 		return
 	}
-	seat, version := o.reign.Next()
+	seat, version := o.reign.Next(now)
 	rec := vault.Record{Seat: seat, Version: version}
 	if o.board != nil {
 		rec.Progress = o.board.Batch()
@@ -139,25 +141,25 @@
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(ctx, writeTime)
 		defer cancel()
-		newVersion, err := o.vault.Write(ctx, rec)
+		done, err := o.vault.Write(ctx, rec)
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.writing = false
 			o.meter.Record(len(rec.Progress), took)
-			o.wrote(now, rec, newVersion, epoch, err)
+			o.wrote(now, rec, done, epoch, err)
 		}
 	})
 }
 
 // wrote follows the outcome of a write.
-func (o *Owner) wrote(now time.Time, rec vault.Record, version uint64, epoch core.Epoch, err error) {
+func (o *Owner) wrote(now time.Time, rec vault.Record, done table.Done, epoch core.Epoch, err error) {
 	same := o.board != nil && o.board.Epoch() == epoch
 	o.nextWrite = now.Add(recordPause)
 	var conflict *table.ConflictError
 	switch {
 	case err == nil:
 		was := o.reign.Mine()
-		o.reign.Wrote(now, rec.Seat, version)
+		o.reign.Wrote(now, rec.Seat, done.Version, done.Now)
 		o.wroteAt = now
 		o.tellSeat()
 		if !was && o.reign.Loading() {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -141,9 +141,12 @@
 }
 
 // Write implements table.Doer.
-func (s *Store) Write(ctx context.Context, t table.Txn) (uint64, error) {
+func (s *Store) Write(ctx context.Context, t table.Txn) (table.Done, error) {
 	o := s.do(ctx, table.Call{Write: &t})
-	return o.Version, o.Err()
+	if err := o.Err(); err != nil {
+		return table.Done{}, err
+	}
+	return *o.Done, nil
 }
 
 // Read implements table.Doer.
--- a/io/table/call.go
+++ b/io/table/call.go
@@ -7,7 +7,7 @@
 
 // Doer carries out calls of the table.
 type Doer interface {
-	Write(ctx context.Context, t Txn) (version uint64, err error)
+	Write(ctx context.Context, t Txn) (Done, error)
 	Read(ctx context.Context, r Range) (Page, error)
 	Feed(ctx context.Context, s Since) (Changes, error)
 }
@@ -21,7 +21,7 @@
 
 // Outcome is the result of a call that another VM has carried out.
 type Outcome struct {
-	Version  uint64         `json:",omitempty"`
+	Done     *Done          `json:",omitempty"`
 	Page     *Page          `json:",omitempty"`
 	Changes  *Changes       `json:",omitempty"`
 	Refused  int            `json:",omitempty"`
@@ -46,7 +46,9 @@
 	var err error
 	switch {
 	case c.Write != nil:
-		o.Version, err = d.Write(ctx, *c.Write)
+		var done Done
+		done, err = d.Write(ctx, *c.Write)
+		o.Done = &done
 	case c.Read != nil:
 		var p Page
 		p, err = d.Read(ctx, *c.Read)
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -45,8 +45,16 @@
 	Rows []Row
 	// More is set if there are rows after the last one.
 	More bool
-	// Version is the newest version of the whole store.
+	// Version is the newest version of the whole store, Now its steady clock.
 	Version uint64
+	Now     time.Duration
+}
+
+// Done is a transaction that has been applied.
+type Done struct {
+	// Version is that of the rows written, Now the store's steady clock.
+	Version uint64
+	Now     time.Duration
 }
 
 // Changes are the rows changed after a version.
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -103,21 +103,27 @@
 
 // get reads one row; version 0 means that there is none.
 func (v *Vault) get(ctx context.Context, k table.Key) (table.Row, error) {
+	r, _, err := v.look(ctx, k)
+	return r, err
+}
+
+// look reads one row, and the store's clock.
+func (v *Vault) look(ctx context.Context, k table.Key) (table.Row, time.Duration, error) {
 	p, err := v.store.Read(ctx, table.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x01", Limit: 1})
 	if err != nil || len(p.Rows) == 0 {
-		return table.Row{}, err
+		return table.Row{}, p.Now, err
 	}
-	return p.Rows[0], nil
+	return p.Rows[0], p.Now, nil
 }
 
-// Seat reads the owner's row; version 0 means that there is none.
-func (v *Vault) Seat(ctx context.Context) (reign.Seat, uint64, error) {
-	var s reign.Seat
-	r, err := v.get(ctx, seatKey())
+// Seat reads the owner's row.
+func (v *Vault) Seat(ctx context.Context) (reign.Look, error) {
+	r, now, err := v.look(ctx, seatKey())
+	l := reign.Look{Version: r.Version, Clock: now}
 	if err != nil || r.Version == 0 {
-		return s, 0, err
+		return l, err
 	}
-	return s, r.Version, decode(r, &s)
+	return l, decode(r, &l.Seat)
 }
 
 // Record is one write of an owner.
@@ -131,7 +137,7 @@
 }
 
 // Write stores a record on the condition that the seat has not changed.
-func (v *Vault) Write(ctx context.Context, r Record) (uint64, error) {
+func (v *Vault) Write(ctx context.Context, r Record) (table.Done, error) {
 	t := table.Txn{Checks: []table.Check{{Key: seatKey(), Version: r.Version}}}
 	rows := map[table.Key]any{seatKey(): r.Seat}
 	if r.Roster != nil {
@@ -143,7 +149,7 @@
 	for k, val := range rows {
 		p, err := encode(k, val)
 		if err != nil {
-			return 0, err
+			return table.Done{}, err
 		}
 		t.Puts = append(t.Puts, p)
 	}
