--- a/cmd/chicoryturn/main.go
+++ b/cmd/chicoryturn/main.go
@@ -84,7 +84,7 @@
 	p.ShowHelpOnUnexpected = true
 	cmds := []*command{
 		gateCommand(), schedCommand(), nodeCommand(), demoCommand(), rulesCommand(), keyCommand(), jobCommand(),
-		statusCommand(), dumpCommand(), chartCommand(), helpCommand(), versionCommand(),
+		statusCommand(), dumpCommand(), whyCommand(), settingsCommand(), chartCommand(), helpCommand(), versionCommand(),
 	}
 	for _, c := range cmds {
 		attach(c, func(s *flaggy.Subcommand) { p.AttachSubcommand(s, 1) })
--- a/cmd/chicoryturn/node.go
+++ b/cmd/chicoryturn/node.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
 
 	"chicoryturn/io/entry"
 	"chicoryturn/io/node"
@@ -21,6 +27,8 @@
 				return &InputError{err.Error()}
 			}
 			store := platform.NewStore(local.Store)
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP)
 			// A signal begins a planned stop; the process ends once nothing is
 			// left to finish.
 			return node.Run(context.WithoutCancel(ctx), local.Node, node.Platform{
@@ -30,7 +38,34 @@
 				Advice:  platform.NewAdvice(local.Advice),
 				Callers: func(e *entry.Entry) http.Handler { return platform.Callers(e) },
 				Probes:  func(e *entry.Entry) http.Handler { return platform.Readiness(e) },
+				Settings: func() (node.Settings, error) {
+					local, err := platform.Settings()
+					return local.Node, err
+				},
+				Reload: hup,
 			}, ctx.Done())
 		},
 	}
 }
+
+// settingsCommand checks the platform's settings file as a whole.
+func settingsCommand() *command {
+	file := ""
+	return &command{
+		name:  "check",
+		about: "Checks a settings file of the platform and prints every mistake.",
+		flags: func(c *flaggy.Subcommand) { c.AddPositionalValue(&file, "file", 1, true, "settings file (TOML)") },
+		run: func(context.Context) error {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return &InputError{err.Error()}
+			}
+			local, err := platform.ParseSettings(text)
+			if err != nil {
+				return &InputError{err.Error()}
+			}
+			fmt.Printf("%s: in order; VM %s serves clients at %s\n", file, local.Node.VM, local.Node.Callers)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/chicoryturn/why.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"chicoryturn/io/trail"
+)
+
+// whyCommand prints the life of one job from the logs.
+func whyCommand() *command {
+	job, file := "", ""
+	return &command{
+		name:  "why",
+		about: "Prints the life of one job from the logs of the VMs: a file, or standard input.",
+		flags: func(c *flaggy.Subcommand) {
+			c.AddPositionalValue(&job, "job", 1, true, "name of the job")
+			c.String(&file, "f", "file", "log file; standard input if left out")
+		},
+		run: func(context.Context) error { return printTrail(os.Stdout, job, file) },
+	}
+}
+
+func printTrail(out io.Writer, job, file string) error {
+	in := io.Reader(os.Stdin)
+	if file != "" {
+		f, err := os.Open(file)
+		if err != nil {
+			return &InputError{err.Error()}
+		}
+		defer f.Close()
+		in = f
+	}
+	lines, skipped, err := trail.Read(in, job)
+	if err != nil {
+		return &InputError{err.Error()}
+	}
+	for _, l := range lines {
+		fmt.Fprintln(out, l)
+	}
+	fmt.Fprintf(out, "\n%d lines over %s: %s\n", len(lines), trail.Span(lines).Round(time.Millisecond), trail.Verdict(lines))
+	if skipped > 0 {
+		fmt.Fprintf(out, "%d lines that name the job could not be read\n", skipped)
+	}
+	return nil
+}
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -123,6 +123,9 @@
 // Counts returns the running totals.
 func (b *Board) Counts() Counts { return b.counts }
 
+// SetLimits follows changed figures of the fleet.
+func (b *Board) SetLimits(l Limits) { b.limits = l }
+
 // SetPolicy follows a newer configuration.
 func (b *Board) SetPolicy(p *policy.Policy) {
 	b.policy = p
@@ -292,6 +295,7 @@
 	for _, f := range b.flying {
 		if f.state != "" && f.job.state == jobClosing {
 			f.job.fire(jobRecorded)
+			f.job.tellEnd()
 			b.closed = append(b.closed, f.job.Spec.ID)
 		}
 	}
--- a/core/board/charts.go
+++ b/core/board/charts.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// Draw returns the charts of tasks, jobs and workers as text, by name.
-func Draw() map[string]string {
-	return map[string]string{"run": taskChart.Draw(), "work": jobChart.Draw(), "lease": workerChart.Draw()}
+// Charts returns the names and drawings of this package's charts.
+func Charts() []string {
+	return []string{"run", taskChart.Draw(), "work", jobChart.Draw(), "lease", workerChart.Draw()}
 }
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -46,6 +46,8 @@
 	// opened is set once earlier phases have ended and the occurrence is due.
 	opened bool
 	since  time.Time
+	// told is when the log last said what the phase waits for.
+	told time.Time
 	// won is set once a member of a gang has ended well: so has the gang.
 	won bool
 	// run is the newest run of a gang.
@@ -187,6 +189,16 @@
 	}
 }
 
+// tellEnd logs how the job has ended, against what it was owed.
+func (j *Job) tellEnd() {
+	onTime, _ := j.due()
+	n := Note{Job: j.Spec.ID, What: "job " + string(j.progress.State), Wait: j.board.now.Sub(j.arrived)}
+	if late := j.board.now.Sub(onTime); late > 0 {
+		n.Because = "late by " + late.Round(time.Millisecond).String()
+	}
+	j.board.note(n)
+}
+
 // due returns when the job must end to be on time, and from when on its end is
 // worth nothing more.
 func (j *Job) due() (onTime, late time.Time) {
--- a/core/board/place.go
+++ b/core/board/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +17,10 @@
 	slowWeight = 0.5
 	// noBound stands for a phase without a bound on tasks per worker.
 	noBound = math.MaxInt
+	// tellAfter is how long work waits before the log says why, tellPause the time
+	// between two such lines.
+	tellAfter = time.Second
+	tellPause = 2 * time.Second
 	// tick is the longest pause between two looks at leases and due times.
 	tick = 100 * time.Millisecond
 )
@@ -213,23 +218,50 @@
 	return s
 }
 
-// place starts what fits.
+// place starts what fits, and tells of work that has waited for a while what
+// it waits for.
 func (b *Board) place() {
 	for _, u := range b.ranked() {
-		if !u.startable() || !b.withinLimit(u, u.need(), u.least()) {
-			continue
-		}
-		if u.phase.Gang {
-			b.placeGang(u)
-		} else {
-			b.placeEach(u)
+		why := u.hindrance()
+		switch {
+		case why != "":
+		case u.phase.Gang:
+			why = b.placeGang(u)
+		default:
+			why = b.placeEach(u)
 		}
+		u.tellWait(why)
+	}
+}
+
+// hindrance says why no task of the phase may start, whatever room there is.
+func (u *unit) hindrance() string {
+	switch b := u.job.board; {
+	case !u.startable():
+		return "last run of the gang has not ended"
+	case !b.withinLimit(u, u.need(), u.least()):
+		return "team is at its limit"
+	}
+	return ""
+}
+
+// tellWait logs now and then why work that has waited for long still waits.
+func (u *unit) tellWait(why string) {
+	b := u.job.board
+	waited := b.now.Sub(u.since)
+	if why == "" || waited < tellAfter || b.now.Sub(u.told) < tellPause {
+		return
 	}
+	u.told = b.now
+	b.note(Note{Job: u.id.Job, What: "waits", Task: u.id.String(), Wait: waited, Because: why})
 }
 
-// placeEach starts as many waiting tasks as fit.
-func (b *Board) placeEach(u *unit) {
+// placeEach starts as many waiting tasks as fit, and says why others do not.
+func (b *Board) placeEach(u *unit) string {
 	seats := u.seats()
+	if len(seats) == 0 {
+		return u.noSeat()
+	}
 	for _, t := range u.tasks {
 		if t.state != taskWaiting {
 			continue
@@ -243,15 +275,30 @@
 			continue
 		}
 		if !b.withinLimit(u, u.need(), 1) {
-			return
+			return "team is at its limit"
 		}
 		b.start(t, seats[i], u.nextRun(t.run), t.saved)
 		seats[i].slots--
 	}
+	if u.idle > 0 {
+		return u.noSeat()
+	}
+	return ""
+}
+
+// noSeat says why no worker can take a task.
+func (u *unit) noSeat() string {
+	switch _, advised := u.policy().Get(); {
+	case advised && !u.advice.known:
+		return "placement policy has not answered"
+	case advised && u.job.board.now.Before(u.advice.lost):
+		return "placement policy is being asked again"
+	}
+	return "no worker that may run it has room"
 }
 
-// placeGang starts all tasks together, or none.
-func (b *Board) placeGang(u *unit) {
+// placeGang starts all tasks together, or none and says why.
+func (b *Board) placeGang(u *unit) string {
 	seats := u.seats()
 	if u.phase.SameRack {
 		seats = oneRack(seats, u.phase.Count)
@@ -261,7 +308,7 @@
 		room = min(room+s.slots, u.phase.Count)
 	}
 	if room < u.phase.Count {
-		return
+		return fmt.Sprintf("%s for all %d tasks at once", u.noSeat(), u.phase.Count)
 	}
 	run := u.nextRun(u.run)
 	for _, t := range u.tasks {
@@ -276,6 +323,7 @@
 		b.start(t, seats[at], run, u.saved)
 		seats[at].slots--
 	}
+	return ""
 }
 
 // oneRack returns the seats of the rack that holds the whole gang best, or all
--- /dev/null
+++ b/core/board/place_test.go
@@ -0,0 +1,262 @@
+package board_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
+)
+
+// begin confirms starts.
+func (d *desk) begin(starts []board.Order) {
+	for _, s := range starts {
+		d.Started(d.now, s.Worker, s.Task, s.Run, board.ReplyDone)
+	}
+}
+
+// TestStandingRun plays a run whose progress stands still: it is stopped and
+// started on another worker; a run that goes on is left alone.
+func TestStandingRun(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 2)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	starts := d.plan(board.OrderStart)
+	d.begin(starts)
+	s := starts[0]
+	var here board.Host
+	for _, h := range d.hosts {
+		if h.Worker() == s.Worker {
+			here = h
+		}
+	}
+	for percent := range 20 {
+		d.pass(200 * time.Millisecond)
+		d.held(here, []board.Active{{Task: s.Task, Run: s.Run, Percent: percent + 1}}, nil)
+		is.Equal(len(d.plan(board.OrderStop)), 0)
+	}
+	var stops []board.Order
+	for range 20 {
+		d.pass(200 * time.Millisecond)
+		d.held(here, []board.Active{{Task: s.Task, Run: s.Run, Percent: 20}}, nil)
+		if stops = d.plan(board.OrderStop); len(stops) > 0 {
+			break
+		}
+	}
+	is.Equal(len(stops), 1)
+	d.Stopped(d.now, s.Worker, s.Task, s.Run, board.ReplyDone)
+	d.pass(200 * time.Millisecond)
+	for _, h := range d.hosts {
+		if h.Worker() != s.Worker {
+			d.held(h, nil, nil)
+		}
+	}
+	d.held(here, nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndOther, Word: "stopped"}})
+	again := d.plan(board.OrderStart)
+	is.Equal(len(again), 1)
+	is.True(again[0].Worker != s.Worker)
+}
+
+// TestSlowWorker plays a worker on which progress is slow: new work prefers
+// others, though it would fill that worker better.
+func TestSlowWorker(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 2)
+	d.open()
+	d.Accept(d.now, plain("j", 2, false))
+	first := d.plan(board.OrderStart)
+	d.begin(first)
+	is.Equal(first[0].Worker, first[1].Worker) // best fit fills one worker
+	slow := first[0].Worker
+	for i := range 30 {
+		d.pass(300 * time.Millisecond)
+		for _, h := range d.hosts {
+			var active []board.Active
+			if h.Worker() == slow {
+				for _, s := range first {
+					active = append(active, board.Active{Task: s.Task, Run: s.Run, Percent: i + 1})
+				}
+			}
+			d.held(h, active, nil)
+		}
+		d.plan(board.OrderStop)
+	}
+	d.Accept(d.now, plain("k", 1, false))
+	next := d.plan(board.OrderStart)
+	is.Equal(len(next), 1)
+	is.True(next[0].Worker != slow)
+}
+
+// TestLimit plays a team at its limit, whose tasks wait though there is room,
+// also while tasks of an earlier owner may still run.
+func TestLimit(t *testing.T) {
+	is := is.New(t)
+	limited := rules(core.Resources{Cores: 2500})
+	b := board.New(dawn, 2, board.Limits{Lease: lease, Silence: 4500 * time.Millisecond, Remote: 1}, limited)
+	d := newDesk(2, 2)
+	d.Board = b
+	d.Load(d.now, []jobs.Spec{plain("j", 1, false)}, nil)
+	d.SetHosts(d.now, d.hosts)
+	d.Known(d.Roster())
+	d.held(d.hosts[0], []board.Active{{Task: taskOf("j", 0), Run: 1}}, nil)
+	d.held(d.hosts[1], nil, nil)
+	d.Accept(d.now, plain("k", 4, false))
+	is.Equal(len(d.plan(board.OrderStart)), 1) // one runs, half of another would fit
+}
+
+// TestGangWhole plays a gang that does not fit: none of it starts.
+func TestGangWhole(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	d.Accept(d.now, plain("g", 5, true)) // room for four
+	d.Accept(d.now, plain("j", 2, false))
+	starts := d.plan(board.OrderStart)
+	is.Equal(len(starts), 2)
+	for _, s := range starts {
+		is.Equal(s.Task.Job, core.JobID("j"))
+	}
+}
+
+// TestPhases plays phases that wait for one another.
+func TestPhases(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	spec := plain("j", 1, false)
+	spec.Phases = append(spec.Phases, jobs.Phase{Count: 1, Need: core.Resources{Cores: 100}, After: []int{0}})
+	d.Accept(d.now, spec)
+	first := d.plan(board.OrderStart)
+	is.Equal(len(first), 1)
+	is.Equal(first[0].Task.Phase, 0)
+	d.begin(first)
+	d.pass(time.Second)
+	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: first[0].Task, Run: first[0].Run, How: board.EndDone, Word: "done"}})
+	second := d.plan(board.OrderStart)
+	is.Equal(len(second), 1)
+	is.Equal(second[0].Task.Phase, 1)
+}
+
+// TestAttempts plays a task that fails each time: its job fails with the last
+// attempt, and an end that is listed again counts once.
+func TestAttempts(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 4)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	number := map[core.WorkerID]uint64{}
+	for attempt := range 3 {
+		state, _ := d.State("j")
+		is.True(state != jobs.Failed)
+		starts := d.plan(board.OrderStart)
+		is.Equal(len(starts), 1)
+		d.begin(starts)
+		d.pass(100 * time.Millisecond)
+		s := starts[0]
+		number[s.Worker]++
+		for _, h := range d.hosts {
+			if h.Worker() == s.Worker {
+				end := []board.Ended{{Number: number[s.Worker], Task: s.Task, Run: s.Run, How: board.EndFailed, Word: "failed"}}
+				d.held(h, nil, end)
+				d.held(h, nil, end)
+			}
+		}
+		is.Equal(uint64(attempt+1), d.Counts().Failures)
+	}
+	d.Batch()
+	d.Recorded(d.now)
+	state, _ := d.State("j")
+	is.Equal(state, jobs.Failed)
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+}
+
+// turns lends out calls for advice to one VM at a time.
+type turns struct {
+	busy bool
+	asks []board.Ask
+}
+
+// Free implements board.Turns.
+func (t *turns) Free(time.Duration) bool { return !t.busy }
+
+// Take implements board.Turns.
+func (t *turns) Take(a board.Ask) {
+	t.asks = append(t.asks, a)
+	t.busy = true
+}
+
+// TestAdvice plays a queue with a placement policy: the first call names all
+// workers; tasks start only where allowed and while the ticket is good; then
+// only allowed workers with room are named.
+func TestAdvice(t *testing.T) {
+	is := is.New(t)
+	p := policy.New(1, []policy.Queue{{
+		Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 2, Latency: time.Second,
+		Advice: core.Some(policy.Advice{Base: 10 * time.Millisecond, PerWorker: time.Millisecond, Valid: time.Second}),
+	}}, []policy.Team{{Name: "t", Weight: 100}}, []policy.Service{{Name: "s"}}, 0)
+	d := newDesk(1, 4)
+	d.Board = board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	ts := &turns{}
+	d.Ask(d.now, ts)
+	is.Equal(len(ts.asks), 1)
+	is.Equal(len(ts.asks[0].Workers), 4)
+	ts.busy = false
+	d.Ask(d.now, ts)
+	is.Equal(len(ts.asks), 1) // one call for a phase at a time
+	allowed := []board.Allowed{{Worker: "w2", Ticket: "good"}}
+	d.Advised(d.now, ts.asks[0].Phase, ts.asks[0].Workers, allowed, time.Second)
+	d.pass(time.Second) // too late to use it
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	d.Ask(d.now, ts)
+	is.Equal(len(ts.asks), 2)
+	is.Equal(ts.asks[1].Workers, []core.WorkerID{"w2"})
+	d.Advised(d.now, ts.asks[1].Phase, ts.asks[1].Workers, allowed, time.Second)
+	starts := d.plan(board.OrderStart)
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Worker, core.WorkerID("w2"))
+	is.Equal(starts[0].Ticket, "good")
+}
+
+// TestOrderOfService plays a full fleet with work of three kinds: within its
+// team's share and on time, late, and beyond the share. Room goes to them in
+// this order, and to the late and the excess work in the end too.
+func TestOrderOfService(t *testing.T) {
+	is := is.New(t)
+	p := policy.New(1,
+		[]policy.Queue{{Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 2, Latency: time.Second}},
+		[]policy.Team{{Name: "t", Weight: 100}, {Name: "flood", Weight: 0.5}}, []policy.Service{{Name: "s"}}, 0)
+	d := newDesk(1, 1)
+	d.Board = board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)
+	d.open()
+	full := func(id string, team core.Team, sent time.Time) jobs.Spec {
+		s := plain(id, 1, false)
+		s.Phases[0].Need.Cores = 4000
+		s.Team, s.Sent = team, sent
+		return s
+	}
+	d.pass(time.Minute)
+	d.held(d.hosts[0], nil, nil)
+	d.Accept(d.now, full("flood0", "flood", d.now))
+	d.Accept(d.now, full("flood1", "flood", d.now))
+	d.Accept(d.now, full("late", "t", d.now.Add(-4*time.Second)))
+	d.Accept(d.now, full("fresh", "t", d.now))
+	var order []string
+	for i := range 4 {
+		starts := d.plan(board.OrderStart)
+		is.Equal(len(starts), 1)
+		d.begin(starts)
+		order = append(order, string(starts[0].Task.Job))
+		d.pass(100 * time.Millisecond)
+		d.held(d.hosts[0], nil, []board.Ended{{Number: uint64(i + 1), Task: starts[0].Task, Run: starts[0].Run, How: board.EndDone, Word: "done"}})
+	}
+	is.Equal(fmt.Sprint(order), "[flood0 fresh late flood1]")
+}
--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -112,6 +112,25 @@
 	t.Fatal("the task was not started again")
 }
 
+// TestWorkerComesBack plays a worker that answers again long after its lease
+// has ended: it is used again.
+func TestWorkerComesBack(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	d.plan(board.OrderHold)
+	d.Silent(d.now, d.hosts[0].Worker())
+	for range 100 {
+		d.pass(100 * time.Millisecond)
+		if len(d.plan(board.OrderHold)) > 0 {
+			d.Silent(d.now, d.hosts[0].Worker())
+		}
+	}
+	d.held(d.hosts[0], nil, nil)
+	d.Accept(d.now, plain("j", 1, false))
+	is.Equal(len(d.plan(board.OrderStart)), 1)
+}
+
 // TestEndOfUnknownJob plays an end that reaches a new owner before the job
 // does: the task must not run again.
 func TestEndOfUnknownJob(t *testing.T) {
--- a/core/board/task.go
+++ b/core/board/task.go
@@ -9,8 +9,20 @@
 	"chicoryturn/core/jobs"
 )
 
-// slowGain is the weight of the newest run in the learned speed of a worker.
-const slowGain = 0.15
+const (
+	// slowGain is the weight of the newest run in the learned speed of a worker.
+	slowGain = 0.15
+	// paceGain is that of the progress of a run that goes on.
+	paceGain = 0.05
+	// paceLeast is how long a run must have worked before its progress tells the
+	// speed of its worker, pacePause the time between two readings of it.
+	paceLeast = 400 * time.Millisecond
+	pacePause = 250 * time.Millisecond
+	// stuckAfter is for how long a run may show no progress before it is stopped
+	// and started elsewhere. The slowest runs described take 65 s, in which one
+	// percent takes 0.65 s.
+	stuckAfter = 2500 * time.Millisecond
+)
 
 // Task is one task of a phase.
 type Task struct {
@@ -36,6 +48,8 @@
 	// percent is the progress last reported, moved when it last changed.
 	percent int
 	moved   time.Time
+	// paced is when the progress was last taken as a sign of the worker's speed.
+	paced time.Time
 	// avoid are the workers on which the task has failed.
 	avoid core.Set[core.WorkerID]
 }
@@ -68,7 +82,7 @@
 	b := t.unit.job.board
 	t.worker, t.placed, t.began = t.next, b.now, time.Time{}
 	t.halted, t.stopped = time.Time{}, time.Time{}
-	t.percent, t.moved = 0, b.now
+	t.percent, t.moved, t.paced = 0, b.now, b.now
 	t.charge = t.unit.need()
 	t.worker.tasks[t.ID()] = t
 	t.worker.free = t.worker.free.Sub(t.charge)
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,10 @@
 	holdWait = 1900 * time.Millisecond
 	// holdPart divides the lease into the longest pause between two holds.
 	holdPart = 4
+	// stillWait is how long a hold waits at a worker where a run has shown no
+	// progress for stillAfter, to learn sooner whether it stands still.
+	stillWait  = 700 * time.Millisecond
+	stillAfter = 700 * time.Millisecond
 	// missedPause is the time before a worker that has not answered is asked again.
 	missedPause = 400 * time.Millisecond
 	// stopPause is the time before a stop without answer is sent again.
@@ -460,14 +465,54 @@
 
 // report takes in what the worker says of a running task.
 func (t *Task) report(a Active) {
+	b := t.unit.job.board
 	if a.Saved != "" {
 		t.keep(a.Run, a.Saved)
 	}
 	if a.Percent != t.percent {
-		t.percent, t.moved = a.Percent, t.unit.job.board.now
+		t.percent, t.moved = a.Percent, b.now
+	}
+	switch {
+	case t.state != taskRunning || t.began.IsZero() || t.unit.phase.Lasts:
+	case t.stuck():
+		t.unstick()
+	default:
+		t.pace()
 	}
 }
 
+// stuck reports whether the run stands still. A gang that waits for a member
+// does so too; its worker ends it when the members' time is up.
+func (t *Task) stuck() bool {
+	most := stuckAfter
+	if t.unit.phase.Gang {
+		most = max(most, t.unit.job.board.limits.Gang+stuckAfter)
+	}
+	return t.percent < 100 && t.unit.job.board.now.Sub(t.moved) > most
+}
+
+// unstick stops a run that stands still, to start it on another worker.
+func (t *Task) unstick() {
+	b, w := t.unit.job.board, t.worker
+	b.note(Note{Job: t.unit.id.Job, What: "run stands still; stopping it", Worker: w.id, Task: t.ID().String(), Run: t.run, Wait: b.now.Sub(t.moved)})
+	t.avoidWorker(w.id)
+	w.setAside()
+	t.fire(taskStop)
+}
+
+// pace takes the progress of a run as a sign of its worker's speed.
+func (t *Task) pace() {
+	b := t.unit.job.board
+	worked := b.now.Sub(t.began)
+	if t.percent == 0 || t.saved != "" || worked < paceLeast || b.now.Sub(t.paced) < pacePause {
+		return
+	}
+	t.paced = b.now
+	whole := worked.Seconds() * 100 / float64(t.percent)
+	expected := max(b.guess.Predict(t.unit.job.Spec.Queue, t.unit.phase.Estimate), time.Millisecond)
+	t.worker.slow += paceGain * (math.Log(whole/expected.Seconds()) - t.worker.slow)
+}
+
 // fullList is how many ends an answer holds at most; a run that is in neither
 // list may be among the ends that did not fit.
 const fullList = 500
@@ -534,7 +579,7 @@
 // holds orders the contacts that are due.
 func (b *Board) holds() {
 	for _, w := range b.byName {
-		if w.lapsed(b.now) {
+		if w.state != workerLive && w.lapsed(b.now) {
 			w.fire(workerLapse)
 		}
 		if w.holding || b.now.Before(w.next) {
@@ -553,14 +598,27 @@
 				continue
 			}
 			wait = 0
-		case w.taken > w.seen:
+		default:
 			w.seen = w.taken
+			if w.standing() {
+				wait = stillWait
+			}
 		}
 		w.holding, w.asked = true, b.now
 		b.orderHold(w, wait)
 	}
 }
 
+// standing reports whether a run on the worker has shown no progress lately.
+func (w *Worker) standing() bool {
+	for _, t := range w.tasks {
+		if t.state == taskRunning && !t.began.IsZero() && !t.unit.phase.Lasts && w.board.now.Sub(t.moved) > stillAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // orderHold asks for a worker's lists. Only a worker that has answered the last
 // hold is granted more time: a lease sent to a silent one may arrive late, and
 // what runs there would never surely end.
--- a/core/reign/reign.go
+++ b/core/reign/reign.go
@@ -53,8 +53,8 @@
 	owning   = machine.State("owning")
 )
 
-// Draw returns the chart as text.
-func Draw() string { return machine.Draw() }
+// Charts returns the name and drawing of this package's chart.
+func Charts() []string { return []string{"reign", machine.Draw()} }
 
 // Seat is the row that names the owner.
 type Seat struct {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -56,6 +57,9 @@
 	// a large VM.
 	ampleShare = 0.4
 	unhurried  = time.Second
+	// settingsPause is the time between two looks at the settings, which may
+	// change without a signal.
+	settingsPause = 3 * time.Second
 	// headerTime bounds the time in which a client sends its headers.
 	headerTime = 5 * time.Second
 	// idleTime bounds the time that a connection is kept without a call.
@@ -82,11 +86,17 @@
 	Advice  guide.Policy
 	// Callers and Probes make the handlers of the process's doors.
 	Callers, Probes func(*entry.Entry) http.Handler
+	// Settings reads the settings again, and Reload tells when they may have
+	// changed.
+	Settings func() (Settings, error)
+	Reload   <-chan os.Signal
 }
 
 // Node is one process.
 type Node struct {
 	settings Settings
+	// grace is the time to stop in, in nanoseconds; it follows the settings.
+	grace    atomic.Int64
 	session  core.SessionID
 	platform Platform
 	log      *logrus.Logger
@@ -110,6 +120,7 @@
 
 func assemble(s Settings, p Platform, l *loop.Loop) *Node {
 	n := &Node{settings: s, platform: p, spool: spool.New(os.Stdout), log: logrus.New()}
+	n.grace.Store(int64(s.Grace))
 	n.log.SetOutput(n.spool)
 	n.log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
 	if level, err := logrus.ParseLevel(s.Level); err == nil {
@@ -181,6 +192,7 @@
 	g.Go(func() error { return n.guide.Run(ctx) })
 	g.Go(func() error { return n.link.Run(ctx) })
 	g.Go(func() error { return n.watchPolicy(ctx) })
+	g.Go(func() error { return n.watchSettings(ctx) })
 	n.owner.Join(&local{vm: n.settings.VM, guide: n.guide, owner: n.owner})
 	n.part("node").WithFields(logrus.Fields{
 		"callers": n.settings.Callers.String(), "peers": n.settings.Peers.String(), "share": n.settings.Share, "memory": n.settings.Memory,
@@ -245,12 +257,13 @@
 	began := time.Now()
 	log := n.part("node")
 	log.Info("stopping")
+	grace := time.Duration(n.grace.Load())
 	n.entry.Leave()
 	n.owner.Leave()
 	// Each further answer closes its connection.
 	door.SetKeepAlivesEnabled(false)
-	wait(ctx, min(drainTime, n.settings.Grace/2))
-	limit, cancel := context.WithTimeout(ctx, max(n.settings.Grace-exitSlack-time.Since(began), exitSlack))
+	wait(ctx, min(drainTime, grace/2))
+	limit, cancel := context.WithTimeout(ctx, max(grace-exitSlack-time.Since(began), exitSlack))
 	defer cancel()
 	if err := door.Shutdown(limit); err != nil {
 		log.WithError(err).WithField("calls", n.entry.Busy()).Warn("calls left")
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -335,6 +335,16 @@
 	})
 }
 
+// SetLimits follows changed settings.
+func (o *Owner) SetLimits(l board.Limits) {
+	o.post(func(o *Owner, _ time.Time) {
+		o.limits = l
+		if o.board != nil {
+			o.board.SetLimits(l)
+		}
+	})
+}
+
 // Leave gives the seat up and claims it no more.
 func (o *Owner) Leave() {
 	o.post(func(o *Owner, now time.Time) {
--- /dev/null
+++ b/io/trail/trail_test.go
@@ -0,0 +1,47 @@
+package trail_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/io/trail"
+)
+
+const log = `   5.1 vm-b {"job":"aa","msg":"placed","part":"owner","run":1,"task":"aa.0.0.0","time":"06:00:01.300","vm":"vm-b","worker":"i-1","after":"1.2s"}
+{"job":"aa","level":"info","msg":"submit","part":"entry","result":"accepted","time":"06:00:00.100","vm":"vm-a","took":"12ms"}
+{"job":"bb","msg":"submit","part":"entry","result":"store-unavailable","error":"store-unavailable: the store takes no jobs at present","time":"06:00:00.200","vm":"vm-a"}
+{"job":"aa","msg":"waits","part":"owner","because":"no worker that may run it has room","after":"1.1s","task":"aa.0.0","time":"06:00:01.200","vm":"vm-b"}
+{"job":"aa","msg":"run ended failed","part":"owner","worker":"i-1","run":1,"task":"aa.0.0.0","time":"06:00:02.300","vm":"vm-b"}
+{"job":"aa","msg":"job completed","part":"owner","after":"4.2s","because":"late by 1.1s","time":"06:00:04.300","vm":"vm-b"}
+half a line with aa {"job":
+{"msg":"started","part":"node","time":"06:00:00.000","vm":"vm-a"}
+`
+
+func TestTrail(t *testing.T) {
+	is := is.New(t)
+	lines, skipped, err := trail.Read(strings.NewReader(log), "aa")
+	is.NoErr(err)
+	is.Equal(len(lines), 5)
+	is.Equal(skipped, 1)
+	is.Equal(lines[0].What, "submit")
+	is.Equal(lines[4].What, "job completed")
+	is.Equal(trail.Verdict(lines), "job completed after 4.2s late by 1.1s; last waited for: no worker that may run it has room after 1.1s; 1 runs failed, the last on i-1")
+	is.Equal(trail.Span(lines).String(), "4.2s")
+}
+
+// TestVerdicts has rows: a job and the cause that its lines alone must tell.
+func TestVerdicts(t *testing.T) {
+	for job, want := range map[string]string{
+		"bb": "never accepted; last refused: store-unavailable (store-unavailable: the store takes no jobs at present)",
+		"cc": "no line names this job: no call for it has reached a VM whose log this is",
+	} {
+		t.Run(job, func(t *testing.T) {
+			is := is.New(t)
+			lines, _, err := trail.Read(strings.NewReader(log), job)
+			is.NoErr(err)
+			is.Equal(trail.Verdict(lines), want)
+		})
+	}
+}
--- /dev/null
+++ b/io/vault/vault_test.go
@@ -0,0 +1,261 @@
+package vault_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/reign"
+	"chicoryturn/io/table"
+	"chicoryturn/io/vault"
+)
+
+// memory is a table in memory whose next calls can be made to fail.
+type memory struct {
+	mu      sync.Mutex
+	rows    map[table.Key]table.Row
+	version uint64
+	writes  int
+	// refuse answers calls with 503, silent leaves them without answer; a silent
+	// write takes effect if applied is set.
+	refuse, silent, applied bool
+}
+
+func newMemory() *memory { return &memory{rows: map[table.Key]table.Row{}} }
+
+func (m *memory) set(refuse, silent, applied bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refuse, m.silent, m.applied = refuse, silent, applied
+}
+
+func (m *memory) Write(_ context.Context, t table.Txn) (table.Done, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes++
+	if m.refuse {
+		return table.Done{}, &table.RefusedError{Status: 503}
+	}
+	if m.silent && !m.applied {
+		return table.Done{}, &table.DownError{Err: context.DeadlineExceeded}
+	}
+	var present []table.Row
+	differs := false
+	for _, c := range t.Checks {
+		r, ok := m.rows[c.Key]
+		if ok {
+			present = append(present, r)
+		}
+		differs = differs || r.Version != c.Version
+	}
+	if differs {
+		return table.Done{}, &table.ConflictError{Rows: present}
+	}
+	m.version++
+	for _, p := range t.Puts {
+		m.rows[p.Key] = table.Row{Key: p.Key, Val: p.Val, Version: m.version}
+	}
+	if m.silent {
+		return table.Done{}, &table.DownError{Err: context.DeadlineExceeded}
+	}
+	return table.Done{Version: m.version}, nil
+}
+
+func (m *memory) Read(_ context.Context, r table.Range) (table.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := table.Page{Version: m.version}
+	for k, row := range m.rows {
+		if k.Table == r.Table && k.Part == r.Part && k.Name >= r.From && (r.To == "" || k.Name < r.To) {
+			p.Rows = append(p.Rows, row)
+		}
+	}
+	return p, nil
+}
+
+func (m *memory) Feed(_ context.Context, s table.Since) (table.Changes, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := table.Changes{Version: m.version}
+	for _, row := range m.rows {
+		if row.Table == s.Table && row.Version > s.Version {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	return c, nil
+}
+
+func open(t *testing.T, m *memory) *vault.Vault {
+	t.Helper()
+	v := vault.New(m)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- v.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return v
+}
+
+func spec(id string, team core.Team) jobs.Spec {
+	return jobs.Spec{ID: core.JobID(id), Team: team, Queue: "q", Phases: []jobs.Phase{{Count: 1}}}
+}
+
+// within returns a context that ends after a while.
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func run(err error) core.Run {
+	var r *core.RefusalError
+	if errors.As(err, &r) {
+		return r.Run
+	}
+	return ""
+}
+
+func TestAccept(t *testing.T) {
+	t.Run("once, and again under the same name", func(t *testing.T) {
+		is := is.New(t)
+		m := newMemory()
+		v := open(t, m)
+		is.NoErr(v.Accept(within(t, time.Second), spec("a", "t")))
+		is.NoErr(v.Accept(within(t, time.Second), spec("a", "t")))
+		is.Equal(run(v.Accept(within(t, time.Second), spec("a", "other"))), core.RunNo)
+		state, err := v.State(context.Background(), "a")
+		is.NoErr(err)
+		is.Equal(state, jobs.Queued)
+	})
+	t.Run("refused soon, and never recorded", func(t *testing.T) {
+		is := is.New(t)
+		m := newMemory()
+		m.set(true, false, false)
+		v := open(t, m)
+		began := time.Now()
+		is.Equal(run(v.Accept(within(t, 10*time.Second), spec("a", "t"))), core.RunNo)
+		is.True(time.Since(began) < 2*time.Second)
+		m.set(false, false, false)
+		_, err := v.State(context.Background(), "a")
+		is.Equal(run(err), core.RunNo) // there is no such job
+	})
+	t.Run("recorded, but the answer was lost", func(t *testing.T) {
+		is := is.New(t)
+		m := newMemory()
+		m.set(false, true, true)
+		v := open(t, m)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			m.set(false, false, false)
+		}()
+		is.NoErr(v.Accept(within(t, 5*time.Second), spec("a", "t")))
+	})
+	t.Run("no answer until the client's time is up", func(t *testing.T) {
+		is := is.New(t)
+		m := newMemory()
+		m.set(false, true, false)
+		v := open(t, m)
+		is.Equal(run(v.Accept(within(t, 500*time.Millisecond), spec("a", "t"))), core.RunUnknown)
+	})
+	t.Run("an unanswered write is not taken back by a refusal", func(t *testing.T) {
+		is := is.New(t)
+		m := newMemory()
+		m.set(false, true, false)
+		v := open(t, m)
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			m.set(true, false, false)
+		}()
+		is.Equal(run(v.Accept(within(t, 1500*time.Millisecond), spec("a", "t"))), core.RunUnknown)
+	})
+}
+
+// TestShared sends many jobs at once: those of one partition share writes.
+func TestShared(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	v := open(t, m)
+	var wg sync.WaitGroup
+	for i := range 500 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := v.Accept(within(t, 5*time.Second), spec(string(rune('a'+i%26))+string(rune('a'+i/26)), "t")); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	wg.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	is.True(m.writes < 500)
+}
+
+func TestOwnersRecord(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := newMemory()
+	v := open(t, m)
+	is.NoErr(v.Accept(ctx, spec("a", "t")))
+	is.NoErr(v.Accept(ctx, spec("b", "t")))
+	is.NoErr(v.Cancel(ctx, "b", time.Now()))
+	is.NoErr(v.Cancel(ctx, "b", time.Now())) // again
+	is.Equal(run(v.Cancel(ctx, "c", time.Now())), core.RunNo)
+
+	done, err := v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x", Epoch: 1}, Roster: []board.Host{{VM: core.VM{Name: "w"}}}})
+	is.NoErr(err)
+	p := jobs.Progress{Job: "a", State: jobs.Completed}
+	p.SetDone(0)
+	_, err = v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x", Epoch: 1, Beat: 2}, Version: done.Version, Progress: []jobs.Progress{p}})
+	is.NoErr(err)
+	// A write on an older seat has no effect.
+	var conflict *table.ConflictError
+	_, err = v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "y", Epoch: 2}, Version: done.Version})
+	is.True(errors.As(err, &conflict))
+
+	rec, err := v.Load(ctx)
+	is.NoErr(err)
+	is.Equal(len(rec.Specs), 2)
+	is.Equal(rec.Cancelled, []core.JobID{"b"})
+	is.Equal(rec.Progress["a"].State, jobs.Completed)
+	is.Equal(len(rec.Roster), 1)
+	look, err := v.Seat(ctx)
+	is.NoErr(err)
+	is.Equal(look.Seat.Holder, core.SessionID("x"))
+
+	is.NoErr(v.Accept(ctx, spec("d", "t")))
+	news, err := v.News(ctx, rec.Version)
+	is.NoErr(err)
+	is.Equal(len(news.Specs), 1)
+	is.Equal(news.Specs[0].ID, core.JobID("d"))
+}
+
+// TestBadRows writes rows that cannot be read: the others are.
+func TestBadRows(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := newMemory()
+	v := open(t, m)
+	is.NoErr(v.Accept(ctx, spec("a", "t")))
+	m.mu.Lock()
+	for k := range m.rows {
+		k.Name = "odd"
+		m.rows[k] = table.Row{Key: k, Val: []byte("{"), Version: 1}
+		break
+	}
+	m.mu.Unlock()
+	rec, err := v.Load(ctx)
+	is.NoErr(err)
+	is.Equal(len(rec.Specs), 1)
+	is.Equal(len(rec.Unread), 1)
+}
