--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -115,6 +115,16 @@
 	a.lost = now.Add(askPatience*p.Cost(min(workers, askMost)) + askGrace)
 }
 
+// expire follows the refusal of a ticket: those that came with it are no better.
+func (a *advice) expire(worker core.WorkerID) {
+	until := a.allowed[worker].until
+	for id, t := range a.allowed {
+		if !t.until.After(until) {
+			a.allowed[id] = ticket{t.text, time.Time{}}
+		}
+	}
+}
+
 func (b *Board) unit(id jobs.PhaseID) *unit {
 	t := b.task(jobs.TaskID{PhaseID: id})
 	if t == nil {
--- a/core/board/place.go
+++ b/core/board/place.go
@@ -382,8 +382,7 @@
 		t.fire(taskUnanswered)
 		return
 	case ReplyTicket:
-		delete(t.unit.advice.allowed, worker)
-		t.unit.advice.named = dropName(t.unit.advice.named, worker)
+		t.unit.advice.expire(worker)
 	case ReplyBusy:
 		w.setAside()
 	case ReplyStranger:
@@ -396,11 +395,6 @@
 	t.fire(taskRefused)
 }
 
-func dropName(s core.Set[core.WorkerID], w core.WorkerID) core.Set[core.WorkerID] {
-	delete(s, w)
-	return s
-}
-
 // Stopped follows the answer to a stop.
 func (b *Board) Stopped(now time.Time, worker core.WorkerID, id jobs.TaskID, run uint64, r Reply) {
 	b.now = now
--- a/core/board/place_test.go
+++ b/core/board/place_test.go
@@ -226,6 +226,30 @@
 	is.Equal(starts[0].Ticket, "good")
 }
 
+// TestRefusedTicket plays a ticket that a worker refuses: those of the same
+// answer are not tried one after another, but asked for again.
+func TestRefusedTicket(t *testing.T) {
+	is := is.New(t)
+	p := policy.New(1, []policy.Queue{{
+		Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 2, Latency: time.Second,
+		Advice: core.Some(policy.Advice{Base: 10 * time.Millisecond, Valid: time.Second}),
+	}}, []policy.Team{{Name: "t", Weight: 100}}, []policy.Service{{Name: "s"}}, 0)
+	d := newDesk(1, 3)
+	d.Board = board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	ts := &turns{}
+	d.Ask(d.now, ts)
+	allowed := []board.Allowed{{Worker: "w0", Ticket: "a"}, {Worker: "w1", Ticket: "b"}, {Worker: "w2", Ticket: "c"}}
+	d.Advised(d.now, ts.asks[0].Phase, ts.asks[0].Workers, allowed, time.Second)
+	s := d.plan(board.OrderStart)[0]
+	d.Started(d.now, s.Worker, s.Task, s.Run, board.ReplyTicket)
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	ts.busy = false
+	d.Ask(d.now, ts)
+	is.Equal(len(ts.asks), 2)
+}
+
 // TestOrderOfService plays a full fleet with work of three kinds: within its
 // team's share and on time, late, and beyond the share. Room goes to them in
 // this order, and to the late and the excess work in the end too.
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -18,15 +18,12 @@
 	// lapseSlack is added to a lease before it counts as ended, for rounding on
 	// both sides.
 	lapseSlack = 50 * time.Millisecond
-	// holdWait is how long a hold waits for an end; the platform takes at most
-	// 2 s, and three of them fit into the shortest lease of 6 s.
-	holdWait = 1900 * time.Millisecond
+	// holdWait is how long a hold waits for an end. A hold whose answer is lost
+	// hides the ends on its worker until it times out, so it is kept short; the
+	// platform takes up to 2 s.
+	holdWait = 600 * time.Millisecond
 	// holdPart divides the lease into the longest pause between two holds.
 	holdPart = 4
-	// stillWait is how long a hold waits at a worker where a run has shown no
-	// progress for stillAfter, to learn sooner whether it stands still.
-	stillWait  = 700 * time.Millisecond
-	stillAfter = 700 * time.Millisecond
 	// missedPause is the time before a worker that has not answered is asked again.
 	missedPause = 400 * time.Millisecond
 	// stopPause is the time before a stop without answer is sent again.
@@ -600,25 +597,12 @@
 			wait = 0
 		default:
 			w.seen = w.taken
-			if w.standing() {
-				wait = stillWait
-			}
 		}
 		w.holding, w.asked = true, b.now
 		b.orderHold(w, wait)
 	}
 }
 
-// standing reports whether a run on the worker has shown no progress lately.
-func (w *Worker) standing() bool {
-	for _, t := range w.tasks {
-		if t.state == taskRunning && !t.began.IsZero() && !t.unit.phase.Lasts && w.board.now.Sub(t.moved) > stillAfter {
-			return true
-		}
-	}
-	return false
-}
-
 // orderHold asks for a worker's lists. Only a worker that has answered the last
 // hold is granted more time: a lease sent to a silent one may arrive late, and
 // what runs there would never surely end.
--- a/io/guide/guide.go
+++ b/io/guide/guide.go
@@ -28,10 +28,15 @@
 type Result struct {
 	Ask     board.Ask
 	Allowed []board.Allowed
-	Valid   time.Duration
-	Err     error
+	// Valid is how long the tickets were good when the answer came, at At.
+	Valid time.Duration
+	At    time.Time
+	Err   error
 }
 
+// Left returns what is left of the tickets' time.
+func (r Result) Left(now time.Time) time.Duration { return r.Valid - now.Sub(r.At) }
+
 // FullError reports that too many calls wait.
 type FullError struct{}
 
@@ -80,5 +85,5 @@
 	ctx, cancel := context.WithTimeout(ctx, patience*a.Cost+grace)
 	defer cancel()
 	allowed, valid, err := g.policy.Advise(ctx, a.Phase, a.Workers)
-	return Result{Ask: a, Allowed: allowed, Valid: valid, Err: err}
+	return Result{Ask: a, Allowed: allowed, Valid: valid, At: time.Now(), Err: err}
 }
--- /dev/null
+++ b/io/guide/guide_test.go
@@ -0,0 +1,58 @@
+package guide_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/io/guide"
+)
+
+// policy answers after a while.
+type policy struct{ wait time.Duration }
+
+func (p policy) Advise(ctx context.Context, _ jobs.PhaseID, _ []core.WorkerID) ([]board.Allowed, time.Duration, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(p.wait):
+		return []board.Allowed{{Worker: "w", Ticket: "t"}}, time.Second, nil
+	}
+}
+
+// TestAge keeps an answer for a while, as a job does that is not recorded yet:
+// its tickets are not taken for fresh ones.
+func TestAge(t *testing.T) {
+	is := is.New(t)
+	g := guide.New(policy{10 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = g.Run(ctx) }()
+	got := make(chan guide.Result, 1)
+	g.Ask(board.Ask{Cost: 10 * time.Millisecond}, func(r guide.Result) { got <- r })
+	r := <-got
+	is.NoErr(r.Err)
+	is.True(r.Left(r.At.Add(400*time.Millisecond)) == 600*time.Millisecond)
+	is.True(r.Left(r.At.Add(2*time.Second)) < 0)
+}
+
+// TestFull asks for more than can wait: the call fails at once.
+func TestFull(t *testing.T) {
+	is := is.New(t)
+	g := guide.New(policy{})
+	failed := 0
+	for range 100 {
+		g.Ask(board.Ask{}, func(r guide.Result) {
+			if r.Err != nil {
+				failed++
+			}
+		})
+	}
+	is.Equal(failed, 70)
+	is.Equal(g.Waiting(), 30)
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -87,7 +87,7 @@
 }
 
 func fromResult(r guide.Result) *wire.Advised {
-	out := &wire.Advised{Phase: fromPhase(r.Ask.Phase), Failed: r.Err != nil, Valid: durationpb.New(r.Valid)}
+	out := &wire.Advised{Phase: fromPhase(r.Ask.Phase), Failed: r.Err != nil, Valid: durationpb.New(r.Left(time.Now()))}
 	for _, w := range r.Ask.Workers {
 		out.Named = append(out.Named, string(w))
 	}
@@ -106,7 +106,7 @@
 	if len(a.Allowed) != len(a.Tickets) {
 		return guide.Result{}, &FormatError{"workers and tickets differ in number"}
 	}
-	r := guide.Result{Ask: board.Ask{Phase: id, Workers: workers(a.Named)}, Valid: a.GetValid().AsDuration()}
+	r := guide.Result{Ask: board.Ask{Phase: id, Workers: workers(a.Named)}, Valid: a.GetValid().AsDuration(), At: time.Now()}
 	for i := range a.Allowed {
 		r.Allowed = append(r.Allowed, board.Allowed{Worker: core.WorkerID(a.Allowed[i]), Ticket: a.Tickets[i]})
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -29,8 +29,8 @@
 	// from VMs that do not, the store is read more often.
 	newsLeast = 150 * time.Millisecond
 	newsMost  = time.Second
-	// recordPause keeps the ends of one moment in one write.
-	recordPause = 5 * time.Millisecond
+	// recordPause keeps the ends of one moment in one write; each is priced.
+	recordPause = 15 * time.Millisecond
 	// retryPause is the time before a refused write or read is repeated.
 	retryPause = 150 * time.Millisecond
 	// planPause bounds how often placement runs, so that a burst of messages
--- a/io/owner/peers.go
+++ b/io/owner/peers.go
@@ -186,7 +186,7 @@
 			o.log.WithError(r.Err).WithFields(logrus.Fields{"job": r.Ask.Phase.Job, "vm": vm}).Warn("no advice")
 			o.board.Unadvised(now, r.Ask.Phase)
 		} else {
-			o.board.Advised(now, r.Ask.Phase, r.Ask.Workers, r.Allowed, r.Valid)
+			o.board.Advised(now, r.Ask.Phase, r.Ask.Workers, r.Allowed, r.Left(now))
 		}
 		o.soon(now)
 	})
