Learn how long the store takes; leave long runs alone

Change: calls wait six times the usual and 0.2 s more, doubled after each that had no answer; reads are made again; stuck needs progress told at all and a tenth of the expected time.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -81,6 +81,8 @@
 	counts   Counts
 	seq      uint64
 	changed  bool
+	// progress is set once a worker has told of any run's progress.
+	progress bool
 	// missed is set when a worker names a job that the board does not know.
 	missed bool
 }
--- a/core/board/place_test.go
+++ b/core/board/place_test.go
@@ -63,6 +63,32 @@
 	is.True(again[0].Worker != s.Worker)
 }
 
+// TestLongRun plays a run of minutes whose percent stands still for seconds, and
+// one whose worker tells no progress at all: both are left alone.
+func TestLongRun(t *testing.T) {
+	for name, tells := range map[string]bool{"slow percent": true, "no percent": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(1, 1)
+			d.open()
+			spec := plain("j", 1, false)
+			spec.Phases[0].Estimate = 10 * time.Minute
+			d.Accept(d.now, spec)
+			s := d.plan(board.OrderStart)[0]
+			d.begin([]board.Order{s})
+			for i := range 200 {
+				d.pass(200 * time.Millisecond)
+				a := board.Active{Task: s.Task, Run: s.Run}
+				if tells {
+					a.Percent = i * 200 / 6000
+				}
+				d.held(d.hosts[0], []board.Active{a}, nil)
+				is.Equal(len(d.plan(board.OrderStop)), 0)
+			}
+		})
+	}
+}
+
 // TestSlowWorker plays a worker on which progress is slow: new work prefers
 // others, though it would fill that worker better.
 func TestSlowWorker(t *testing.T) {
--- a/core/board/task.go
+++ b/core/board/task.go
@@ -19,9 +19,11 @@
 	paceLeast = 400 * time.Millisecond
 	pacePause = 250 * time.Millisecond
 	// stuckAfter is for how long a run may show no progress before it is stopped
-	// and started elsewhere. The slowest runs described take 65 s, in which one
-	// percent takes 0.65 s.
+	// and started elsewhere; in long runs it is a tenth of their expected time.
+	// Workers described as slow take 6.5 times as long, and one percent of that
+	// is 6.5 % of it.
 	stuckAfter = 2500 * time.Millisecond
+	stuckPart  = 10
 )
 
 // Task is one task of a phase.
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -468,6 +468,7 @@
 	}
 	if a.Percent != t.percent {
 		t.percent, t.moved = a.Percent, b.now
+		b.progress = true
 	}
 	switch {
 	case t.state != taskRunning || t.began.IsZero() || t.unit.phase.Lasts:
@@ -479,13 +480,18 @@
 }
 
 // stuck reports whether the run stands still. A gang that waits for a member
-// does so too; its worker ends it when the members' time is up.
+// does so too; its worker ends it when the members' time is up. Progress is told
+// in whole percent, which take long in long runs.
 func (t *Task) stuck() bool {
-	most := stuckAfter
+	b := t.unit.job.board
+	if !b.progress || t.percent >= 100 {
+		return false
+	}
+	most := max(stuckAfter, b.guess.Predict(t.unit.job.Spec.Queue, t.unit.phase.Estimate)/stuckPart)
 	if t.unit.phase.Gang {
-		most = max(most, t.unit.job.board.limits.Gang+stuckAfter)
+		most += b.limits.Gang
 	}
-	return t.percent < 100 && t.unit.job.board.now.Sub(t.moved) > most
+	return b.now.Sub(t.moved) > most
 }
 
 // unstick stops a run that stands still, to start it on another worker.
--- a/core/mimic/mimic.go
+++ b/core/mimic/mimic.go
@@ -230,7 +230,8 @@
 	w.ended = slices.DeleteFunc(w.ended, func(e board.Ended) bool { return e.Number <= o.Seen })
 	l := board.Lists{Clock: w.Clock(), Born: w.born, Ended: slices.Clone(w.ended)}
 	for _, r := range w.active {
-		l.Active = append(l.Active, board.Active{Task: r.key.task, Run: r.key.run})
+		done := 100 * r.worked / max(w.tasks.Task(r.key.task).Work, 1)
+		l.Active = append(l.Active, board.Active{Task: r.key.task, Run: r.key.run, Percent: int(done)})
 	}
 	return l, board.ReplyDone
 }
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -14,9 +14,6 @@
 	"chicoryturn/io/vault"
 )
 
-// writeTime bounds one write of an owner.
-const writeTime = 1200 * time.Millisecond
-
 func isTrimmed(err error) bool {
 	var t *table.TrimmedError
 	return errors.As(err, &t)
@@ -139,8 +136,6 @@
 	epoch := seat.Epoch
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
 		began := time.Now()
-		ctx, cancel := context.WithTimeout(ctx, writeTime)
-		defer cancel()
 		done, err := o.vault.Write(ctx, rec)
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
@@ -305,8 +300,6 @@
 	o.writing = true
 	o.dismiss("the process is stopping")
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
-		ctx, cancel := context.WithTimeout(ctx, writeTime)
-		defer cancel()
 		_, err := o.vault.Write(ctx, rec)
 		return func(o *Owner, _ time.Time) {
 			o.writing = false
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -18,8 +18,6 @@
 	// acceptBatch bounds the jobs of one write, well below the platform's 100
 	// entries and 1 MB for jobs of a few kilobytes.
 	acceptBatch = 50
-	// writeTime bounds one write of accepted jobs.
-	writeTime = 1200 * time.Millisecond
 	// refusedMost is how long a job is offered to a store that refuses it: its
 	// client then learns at once that it has not been taken.
 	refusedMost = 800 * time.Millisecond
@@ -129,9 +127,7 @@
 		t.Checks = append(t.Checks, table.Check{Key: a.put.Key})
 		t.Puts = append(t.Puts, a.put)
 	}
-	limited, cancel := context.WithTimeout(ctx, writeTime)
-	defer cancel()
-	_, err := v.store.Write(limited, t)
+	_, err := v.write(ctx, t)
 	var conflict *table.ConflictError
 	switch {
 	case err == nil:
--- /dev/null
+++ b/io/vault/pace_test.go
@@ -0,0 +1,88 @@
+package vault_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core/reign"
+	"chicoryturn/io/table"
+	"chicoryturn/io/vault"
+)
+
+// slow is a table whose answers take a while, or do not come at all.
+type slow struct {
+	*memory
+	takes atomic.Int64
+	lose  atomic.Bool
+}
+
+func (s *slow) wait(ctx context.Context) error {
+	d := time.Duration(s.takes.Load())
+	if s.lose.Load() {
+		d = time.Minute
+	}
+	select {
+	case <-ctx.Done():
+		return &table.DownError{Err: ctx.Err()}
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (s *slow) Write(ctx context.Context, t table.Txn) (table.Done, error) {
+	if err := s.wait(ctx); err != nil {
+		return table.Done{}, err
+	}
+	return s.memory.Write(ctx, t)
+}
+
+func (s *slow) Read(ctx context.Context, r table.Range) (table.Page, error) {
+	if err := s.wait(ctx); err != nil {
+		return table.Page{}, err
+	}
+	return s.memory.Read(ctx, r)
+}
+
+// TestPace plays lost answers of a quick store, which are noticed well within
+// the time after which a watcher would claim the seat, and a store that turns
+// slow, whose answers are waited for after a few calls.
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := &slow{memory: newMemory()}
+	s.takes.Store(int64(10 * time.Millisecond))
+	v := vault.New(s)
+	version := uint64(0)
+	write := func() error {
+		done, err := v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x"}, Version: version})
+		if err == nil {
+			version = done.Version
+		}
+		return err
+	}
+	for range 5 {
+		is.NoErr(write())
+	}
+	s.lose.Store(true)
+	began := time.Now()
+	var down *table.DownError
+	is.True(errors.As(write(), &down))
+	is.True(time.Since(began) < reign.TTL/4)
+	s.lose.Store(false)
+	is.NoErr(write())
+
+	s.takes.Store(int64(650 * time.Millisecond))
+	tries := 0
+	for write() != nil {
+		tries++
+		is.True(tries < 5)
+	}
+	is.NoErr(write()) // and goes on being waited for
+	_, err := v.Seat(ctx)
+	is.NoErr(err) // a read is made again by itself
+}
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -43,7 +43,10 @@
 
 // Vault reads and writes the product's rows.
 type Vault struct {
-	store  table.Doer
+	store table.Doer
+	// writePace and readPace learn how long the store's answers take.
+	writePace, readPace pace
+
 	writes [parts]chan *acceptance
 }
 
@@ -109,7 +112,7 @@
 
 // look reads one row, and the store's clock.
 func (v *Vault) look(ctx context.Context, k table.Key) (table.Row, time.Duration, error) {
-	p, err := v.store.Read(ctx, table.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x01", Limit: 1})
+	p, err := v.read(ctx, table.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x01", Limit: 1})
 	if err != nil || len(p.Rows) == 0 {
 		return table.Row{}, p.Now, err
 	}
@@ -153,7 +156,7 @@
 		}
 		t.Puts = append(t.Puts, p)
 	}
-	return v.store.Write(ctx, t)
+	return v.write(ctx, t)
 }
 
 // Recorded is all that a new owner takes over.
@@ -231,7 +234,7 @@
 func (v *Vault) scan(ctx context.Context, name, part string, each func(table.Row)) (uint64, error) {
 	first, from := uint64(0), ""
 	for {
-		p, err := v.store.Read(ctx, table.Range{Table: name, Part: part, From: from})
+		p, err := v.read(ctx, table.Range{Table: name, Part: part, From: from})
 		if err != nil {
 			return 0, err
 		}
@@ -305,7 +308,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = v.store.Write(ctx, table.Txn{Checks: []table.Check{{Key: cancelKey(id)}}, Puts: []table.Put{put}})
+	_, err = v.write(ctx, table.Txn{Checks: []table.Check{{Key: cancelKey(id)}}, Puts: []table.Put{put}})
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		// The row exists: the job has been cancelled before.
