--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -347,9 +347,9 @@
 
 // Leave gives the seat up and claims it no more.
 func (o *Owner) Leave() {
-	o.post(func(o *Owner, now time.Time) {
+	o.post(func(o *Owner, _ time.Time) {
 		o.leaving = true
-		o.resign(now)
+		o.resign()
 	})
 }
 
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -273,7 +273,7 @@
 }
 
 // resign frees the seat for another process.
-func (o *Owner) resign(now time.Time) {
+func (o *Owner) resign() {
 	if !o.reign.Mine() {
 		o.reign.Leave()
 		close(o.left)
@@ -288,7 +288,7 @@
 			case <-ctx.Done():
 			case <-t.C:
 			}
-			return func(o *Owner, now time.Time) { o.resign(now) }
+			return func(o *Owner, _ time.Time) { o.resign() }
 		})
 		return
 	}
