--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -221,7 +221,13 @@
 
 func (o *Owner) logNotes() {
 	for _, n := range o.board.Notes() {
-		f := logrus.Fields{"job": n.Job, "worker": n.Worker, "task": n.Task, "run": n.Run}
+		f := logrus.Fields{"job": n.Job}
+		if n.Task != "" {
+			f["task"] = n.Task
+		}
+		if n.Run > 0 {
+			f["run"], f["worker"] = n.Run, n.Worker
+		}
 		if n.Wait > 0 {
 			f["after"] = n.Wait.Round(time.Millisecond).String()
 		}
