--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -58,6 +58,9 @@
 	if err != nil {
 		return err
 	}
+	if len(put.Val) > rowMost {
+		return core.Refuse(core.CodeTooLarge, "the job takes %d bytes in the store, at most %d", len(put.Val), rowMost)
+	}
 	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan error, 1)}
 	select {
 	case v.writes[partOf(spec.ID)] <- a:
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -8,6 +8,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,8 +33,13 @@
 	// fleetPart holds all that an owner writes.
 	fleetPart = "fleet"
 	seatName  = "seat"
-	// rosterName is the row that lists the workers in use.
+	// rosterName begins the names of the rows that list the workers in use, each
+	// with rosterPart of them: a row holds at most 64 KiB.
 	rosterName = "roster"
+	rosterPart = 64
+	// rowMost bounds the value of a row, in bytes; the platform's own bound is
+	// 65,536.
+	rowMost = 64 << 10
 	// parts divides the jobs by name. A partition takes its transactions one
 	// after another, in 8 ms each, and in some 50 times as long when the store is
 	// slow: 64 then carry 150 jobs a second.
@@ -83,8 +90,15 @@
 	return table.Key{Table: fleetTable, Part: fleetPart, Name: seatName}
 }
 
-func rosterKey() table.Key {
-	return table.Key{Table: fleetTable, Part: fleetPart, Name: rosterName}
+func rosterKey(page int) table.Key {
+	return table.Key{Table: fleetTable, Part: fleetPart, Name: fmt.Sprintf("%s/%04d", rosterName, page)}
+}
+
+// rosterPage is one row of the list of workers in use.
+type rosterPage struct {
+	// Pages is how many rows the list has; later ones are of an older list.
+	Pages int
+	Hosts []board.Host
 }
 
 func partName(i int) string { return "p" + strconv.Itoa(i) }
@@ -144,7 +158,13 @@
 	t := table.Txn{Checks: []table.Check{{Key: seatKey(), Version: r.Version}}}
 	rows := map[table.Key]any{seatKey(): r.Seat}
 	if r.Roster != nil {
-		rows[rosterKey()] = r.Roster
+		pages := slices.Collect(slices.Chunk(r.Roster, rosterPart))
+		for i, hosts := range pages {
+			rows[rosterKey(i)] = rosterPage{len(pages), hosts}
+		}
+		if len(pages) == 0 {
+			rows[rosterKey(0)] = rosterPage{}
+		}
 	}
 	for _, p := range r.Progress {
 		rows[progressKey(p.Job)] = p
@@ -186,10 +206,8 @@
 		})
 	}
 	g.Go(func() error {
-		roster, err := v.get(sub, rosterKey())
-		if err == nil && roster.Version > 0 {
-			err = decode(roster, &out.Roster)
-		}
+		var err error
+		out.Roster, err = v.roster(sub)
 		return err
 	})
 	if err := g.Wait(); err != nil {
@@ -206,6 +224,29 @@
 	return out, err
 }
 
+// roster reads the list of workers in use.
+func (v *Vault) roster(ctx context.Context) ([]board.Host, error) {
+	p, err := v.read(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"})
+	if err != nil {
+		return nil, err
+	}
+	var out []board.Host
+	pages := 0
+	for i, row := range p.Rows {
+		var page rosterPage
+		if err := decode(row, &page); err != nil {
+			return nil, err
+		}
+		if i == 0 {
+			pages = page.Pages
+		}
+		if i < pages {
+			out = append(out, page.Hosts...)
+		}
+	}
+	return out, nil
+}
+
 // addJob takes in a row of the table of jobs: a job or a cancellation.
 func (r *Recorded) addJob(row table.Row) {
 	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
--- a/io/vault/vault_test.go
+++ b/io/vault/vault_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +46,11 @@
 	if m.refuse {
 		return table.Done{}, &table.RefusedError{Status: 503}
 	}
+	for _, p := range t.Puts {
+		if len(p.Val) > 65536 {
+			return table.Done{}, &table.RefusedError{Status: 400}
+		}
+	}
 	if m.silent && !m.applied {
 		return table.Done{}, &table.DownError{Err: context.DeadlineExceeded}
 	}
@@ -77,6 +85,7 @@
 			p.Rows = append(p.Rows, row)
 		}
 	}
+	slices.SortFunc(p.Rows, func(a, b table.Row) int { return strings.Compare(a.Name, b.Name) })
 	return p, nil
 }
 
@@ -240,6 +249,42 @@
 	is.Equal(news.Specs[0].ID, core.JobID("d"))
 }
 
+// TestLargeFleet records a list of workers that no single row could hold, then
+// a shorter one.
+func TestLargeFleet(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	v := open(t, newMemory())
+	version := uint64(0)
+	for _, count := range []int{700, 350, 3, 0} {
+		hosts := []board.Host{}
+		for i := range count {
+			hosts = append(hosts, board.Host{VM: core.VM{Name: fmt.Sprintf("i-%010d", i), Zone: "some-data-centre-a", Region: "some-region", Service: "a-service"}, Labels: []string{"a", "r1-22"}})
+		}
+		done, err := v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x"}, Version: version, Roster: hosts})
+		is.NoErr(err)
+		version = done.Version
+		rec, err := v.Load(ctx)
+		is.NoErr(err)
+		is.Equal(len(rec.Roster), count)
+	}
+}
+
+// TestLargeJob offers a job that no row can hold: it is refused at once.
+func TestLargeJob(t *testing.T) {
+	is := is.New(t)
+	v := open(t, newMemory())
+	s := spec("a", "t")
+	for range 2000 {
+		s.Phases = append(s.Phases, jobs.Phase{Count: 1, Label: "some-label", Image: "some-image"})
+	}
+	began := time.Now()
+	var r *core.RefusalError
+	is.True(errors.As(v.Accept(context.Background(), s), &r))
+	is.Equal(r.Code, core.CodeTooLarge)
+	is.True(time.Since(began) < 300*time.Millisecond)
+}
+
 // TestBadRows writes rows that cannot be read: the others are.
 func TestBadRows(t *testing.T) {
 	is := is.New(t)
