--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -24,6 +24,9 @@
 	// when a call counts as lost.
 	askPatience = 4
 	askGrace    = 1500 * time.Millisecond
+	// askAgain is the time before a phase that no call would help is looked into
+	// again.
+	askAgain = 25 * time.Millisecond
 	// spareWorkers is how many workers beyond those needed a repeated call names,
 	// since room goes elsewhere meanwhile.
 	spareWorkers = 2
@@ -36,6 +39,10 @@
 	known   bool
 	named   core.Set[core.WorkerID]
 	allowed map[core.WorkerID]ticket
+	// fresh is until when the newest ticket is good.
+	fresh time.Time
+	// idle is until when another call is not worth looking into.
+	idle time.Time
 	// asked is when a call was sent that has not been answered; zero if none.
 	asked time.Time
 	// lost is when that call counts as lost.
@@ -82,6 +89,9 @@
 	for _, w := range allowed {
 		a.allowed[w.Worker] = ticket{w.Ticket, now.Add(valid)}
 	}
+	if len(allowed) > 0 {
+		a.fresh = now.Add(valid)
+	}
 	b.changed = true
 }
 
@@ -118,6 +128,9 @@
 // expire follows the refusal of a ticket: those that came with it are no better.
 func (a *advice) expire(worker core.WorkerID) {
 	until := a.allowed[worker].until
+	if !a.fresh.After(until) {
+		a.fresh = time.Time{}
+	}
 	for id, t := range a.allowed {
 		if !t.until.After(until) {
 			a.allowed[id] = ticket{t.text, time.Time{}}
@@ -159,11 +172,13 @@
 	}
 	for _, u := range b.ranked() {
 		p, ok := u.policy().Get()
-		if !ok || !u.startable() || (!u.advice.asked.IsZero() && now.Before(u.advice.lost)) || !turns.Free(p.Base) {
+		asking := !u.advice.asked.IsZero() && now.Before(u.advice.lost)
+		if !ok || asking || now.Before(u.advice.idle) || !u.startable() || !turns.Free(p.Base) {
 			continue
 		}
 		names := u.worthAsking()
 		if len(names) == 0 {
+			u.advice.idle = now.Add(askAgain)
 			continue
 		}
 		u.advice.wait(now, p, len(names))
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -131,6 +131,11 @@
 // SetPolicy follows a newer configuration.
 func (b *Board) SetPolicy(p *policy.Policy) {
 	b.policy = p
+	for _, j := range b.jobs {
+		if !j.ended() {
+			j.setDue()
+		}
+	}
 	b.changed = true
 }
 
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -28,6 +28,9 @@
 	// seq is the order of arrival.
 	seq     uint64
 	arrived time.Time
+	// onTime is when the job must end to be on time, late from when on its end is
+	// worth nothing more; both follow the policy.
+	onTime, late time.Time
 	// beyond is set for work that exceeds the team's share of a full fleet.
 	beyond bool
 }
@@ -46,6 +49,10 @@
 	// opened is set once earlier phases have ended and the occurrence is due.
 	opened bool
 	since  time.Time
+	// rest is the expected time from the phase's start to the job's end, as worked
+	// out at restAt.
+	rest   time.Duration
+	restAt time.Time
 	// told is when the log last said what the phase waits for.
 	told time.Time
 	// won is set once a member of a gang has ended well: so has the gang.
@@ -77,6 +84,7 @@
 	}
 	j.left = len(j.units)
 	j.beyond = b.beyond(spec.Team, j.arrived)
+	j.setDue()
 	b.jobs[spec.ID] = j
 	b.changed = true
 	return j
@@ -191,27 +199,26 @@
 
 // tellEnd logs how the job has ended, against what it was owed.
 func (j *Job) tellEnd() {
-	onTime, _ := j.due()
 	n := Note{Job: j.Spec.ID, What: "job " + string(j.progress.State), Wait: j.board.now.Sub(j.arrived)}
-	if late := j.board.now.Sub(onTime); late > 0 {
+	if late := j.board.now.Sub(j.onTime); late > 0 {
 		n.Because = "late by " + late.Round(time.Millisecond).String()
 	}
 	j.board.note(n)
 }
 
-// due returns when the job must end to be on time, and from when on its end is
-// worth nothing more.
-func (j *Job) due() (onTime, late time.Time) {
+// setDue works out what the job is owed.
+func (j *Job) setDue() {
+	j.onTime, j.late = j.arrived, j.arrived
 	q := j.board.policy.Queues[j.Spec.Queue]
 	if q == nil {
-		return j.arrived, j.arrived
+		return
 	}
 	extra := time.Duration(0)
 	if a, ok := q.Advice.Get(); ok {
 		extra = a.Cost(adviceWorkers)
 	}
 	owed := time.Duration(q.Slowdown*float64(j.Spec.Chain(extra))) + q.Latency
-	return j.arrived.Add(owed), j.arrived.Add(lateFactor * owed)
+	j.onTime, j.late = j.arrived.Add(owed), j.arrived.Add(lateFactor*owed)
 }
 
 func (u *unit) open() {
--- a/core/board/place.go
+++ b/core/board/place.go
@@ -17,6 +17,8 @@
 	slowWeight = 0.5
 	// noBound stands for a phase without a bound on tasks per worker.
 	noBound = math.MaxInt
+	// restFresh is how long an estimate of the remaining time is used again.
+	restFresh = 300 * time.Millisecond
 	// tellAfter is how long work waits before the log says why, tellPause the time
 	// between two such lines.
 	tellAfter = time.Second
@@ -63,18 +65,17 @@
 			continue
 		}
 		s := standing{unit: u}
-		onTime, late := u.job.due()
 		left := b.remaining(u)
 		switch {
 		case u.job.beyond:
 			s.tardy = 2
-		case !b.now.Add(left).After(onTime):
-		case !b.now.Add(left).After(late):
+		case !b.now.Add(left).After(u.job.onTime):
+		case !b.now.Add(left).After(u.job.late):
 			s.tardy = 1
 		default:
 			s.tardy = 2
 		}
-		s.latest = onTime.Add(-left)
+		s.latest = u.job.onTime.Add(-left)
 		if q := b.policy.Queues[u.job.Spec.Queue]; q != nil {
 			s.priority = q.Priority
 		}
@@ -92,8 +93,11 @@
 }
 
 // remaining is the expected time from the start of a phase to the end of its
-// job, along the longest chain.
+// job, along the longest chain. What is learned moves it slowly.
 func (b *Board) remaining(u *unit) time.Duration {
+	if !u.restAt.IsZero() && b.now.Sub(u.restAt) < restFresh {
+		return u.rest
+	}
 	phases := u.job.Spec.Phases
 	tail := make([]time.Duration, len(phases))
 	for i := len(phases) - 1; i >= u.id.Phase; i-- {
@@ -102,7 +106,8 @@
 			tail[a] = max(tail[a], tail[i])
 		}
 	}
-	return tail[u.id.Phase]
+	u.rest, u.restAt = tail[u.id.Phase], b.now
+	return u.rest
 }
 
 // startable reports whether the phase has tasks that may be placed now; a gang
@@ -185,25 +190,29 @@
 func (u *unit) seats() []seat {
 	b := u.job.board
 	need := u.need()
-	_, advised := u.policy().Get()
 	var out []seat
-	for _, w := range b.byName {
-		ticket := ""
-		if advised {
-			t, ok := u.advice.allowed[w.id]
-			if !ok || !b.now.Add(ticketSlack).Before(t.until) {
-				continue
-			}
-			ticket = t.text
-		}
+	add := func(w *Worker, ticket string) {
 		if !u.suits(w) {
-			continue
+			return
 		}
 		if n := u.slots(w, need, w.free); n > 0 {
 			out = append(out, seat{w, ticket, n, u.score(w, need)})
 		}
 	}
-	slices.SortStableFunc(out, func(x, y seat) int { return cmp.Compare(x.score, y.score) })
+	if _, advised := u.policy().Get(); !advised {
+		for _, w := range b.byName {
+			add(w, "")
+		}
+	} else if good := b.now.Add(ticketSlack); good.Before(u.advice.fresh) {
+		for id, t := range u.advice.allowed {
+			if w := b.workers[id]; w != nil && good.Before(t.until) {
+				add(w, t.text)
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y seat) int {
+		return cmp.Or(cmp.Compare(x.score, y.score), cmp.Compare(x.worker.id, y.worker.id))
+	})
 	return out
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -55,8 +55,8 @@
 	// ampleShare is the part of a core from which on a VM claims at once, and
 	// unhurried is how much later one without any would, so that the seat goes to
 	// a large VM.
-	ampleShare = 0.4
-	unhurried  = time.Second
+	ampleShare = 0.8
+	unhurried  = 300 * time.Millisecond
 	// settingsPause is the time between two looks at the settings, which may
 	// change without a signal.
 	settingsPause = 3 * time.Second
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -35,7 +35,7 @@
 	retryPause = 150 * time.Millisecond
 	// planPause bounds how often placement runs, so that a burst of messages
 	// costs one pass.
-	planPause = 4 * time.Millisecond
+	planPause = 6 * time.Millisecond
 )
 
 // Vault is what the owner reads and writes.
