--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -74,7 +74,7 @@
 func (b *Board) Advised(now time.Time, id jobs.PhaseID, named []core.WorkerID, allowed []Allowed, valid time.Duration) {
 	b.now = now
 	u := b.unit(id)
-	if u == nil {
+	if u == nil || u.left == 0 || u.job.ended() {
 		return
 	}
 	a := &u.advice
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -194,6 +194,7 @@
 	for _, u := range j.units {
 		delete(j.board.open, u)
 		delete(j.board.timed, u)
+		u.advice = advice{}
 	}
 }
 
@@ -232,6 +233,8 @@
 func (u *unit) complete() {
 	j := u.job
 	delete(j.board.open, u)
+	// Who may run the phase is the largest part of a job's memory.
+	u.advice = advice{}
 	j.left--
 	j.openUnits()
 	j.settle()
