Tell workers that have left from those that are silent

Change: an entry that goes soon after its last renewal shows that a leaving worker has left; a silent worker on which nothing runs needs no lapse.

--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -131,6 +131,60 @@
 	is.Equal(len(d.plan(board.OrderStart)), 1)
 }
 
+// TestWorkerLeaves has rows: what the last entry of a worker said, how long
+// before its disappearance it was renewed, and whether its task starts elsewhere
+// at once.
+func TestWorkerLeaves(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaving bool
+		silence time.Duration
+		at1     bool
+	}{
+		"left by plan":          {leaving: true, silence: time.Second, at1: true},
+		"leaving, then cut off": {leaving: true, silence: 4500 * time.Millisecond},
+		"vanished":              {silence: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(1, 2)
+			d.open()
+			d.Accept(d.now, plain("j", 1, false))
+			first := d.plan(board.OrderStart)
+			d.begin(first)
+			var kept []board.Host
+			for i := range d.hosts {
+				d.hosts[i].Beat++
+				if d.hosts[i].Worker() == first[0].Worker {
+					d.hosts[i].Leaving = c.leaving
+				} else {
+					kept = append(kept, d.hosts[i])
+				}
+			}
+			d.SetHosts(d.now, d.hosts)
+			d.pass(c.silence)
+			d.held(kept[0], nil, nil)
+			d.Silent(d.now, first[0].Worker)
+			d.SetHosts(d.now, kept)
+			is.Equal(len(d.plan(board.OrderStart)) == 1, c.at1)
+		})
+	}
+}
+
+// TestIdleWorkerLeaves plays a worker on which nothing runs that falls silent
+// and is no longer listed: a later owner need not wait for it.
+func TestIdleWorkerLeaves(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 2)
+	d.open()
+	d.plan(board.OrderHold)
+	d.Silent(d.now, d.hosts[0].Worker())
+	for range 6 {
+		d.SetHosts(d.now, d.hosts[1:])
+		d.pass(500 * time.Millisecond)
+	}
+	is.Equal(len(d.Roster()), 1)
+}
+
 // TestEndOfUnknownJob plays an end that reaches a new owner before the job
 // does: the task must not run again.
 func TestEndOfUnknownJob(t *testing.T) {
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -21,6 +21,9 @@
 	// before it counts as gone: entries that lapse while the store is away are
 	// back within 2 s of its return.
 	vanishWait = 2500 * time.Millisecond
+	// leftMargin is how much earlier than the platform's bound of silence an entry
+	// must have gone to show that its worker has left.
+	leftMargin = 1500 * time.Millisecond
 	// listGap is the longest pause between two readings of the list that still
 	// shows that an entry was missing all the while.
 	listGap = 1500 * time.Millisecond
@@ -41,6 +44,8 @@
 	Left time.Duration
 	// Born marks the incarnation, as far as the list tells.
 	Born time.Time
+	// Beat changes whenever the worker renews its entry.
+	Beat uint64
 }
 
 // Worker returns the worker's name.
@@ -70,6 +75,8 @@
 	// does not.
 	listed  bool
 	missing time.Time
+	// renewed is when the entry was first seen as it was last listed.
+	renewed time.Time
 	// free is the room less what the tasks and strays hold.
 	free   core.Resources
 	tasks  map[jobs.TaskID]*Task
@@ -187,6 +194,9 @@
 }
 
 func (w *Worker) follow(h Host) {
+	if h.Beat != w.host.Beat {
+		w.renewed = w.board.now
+	}
 	w.listed, w.missing = true, time.Time{}
 	if h.Room != w.host.Room {
 		w.free = w.free.Add(h.Room).Sub(w.host.Room)
@@ -199,9 +209,10 @@
 }
 
 // unlist follows a list that does not name the worker. One that still answers
-// runs on; one that does not is gone once its lease has surely ended. The
-// platform drops an entry after some silence, and that much of the lease of a
-// worker that this owner has never heard has passed.
+// runs on. One that does not is gone at once if it has left by plan or if
+// nothing ran there, else once its lease has surely ended. The platform drops an
+// entry after some silence, and that much of the lease of a worker that this
+// owner has never heard has passed.
 func (w *Worker) unlist() {
 	b := w.board
 	w.listed = false
@@ -210,9 +221,30 @@
 	}
 	gone := b.now.Sub(w.missing)
 	left := time.Duration(float64(b.limits.Lease)/slowestClock) - b.limits.Silence
-	if gone >= vanishWait && (w.state == workerLapsed || w.state == workerFresh && gone >= left) {
-		w.fire(workerVanish)
+	switch {
+	case w.hasLeft():
+	case gone < vanishWait:
+		return
+	case w.state == workerSilent && w.quiet():
+	case w.state == workerLapsed:
+	case w.state == workerFresh && gone >= left:
+	default:
+		return
 	}
+	w.fire(workerVanish)
+}
+
+// hasLeft reports whether the entry went because the worker has left: it was
+// leaving, and its entry was renewed too lately to have been dropped for
+// silence.
+func (w *Worker) hasLeft() bool {
+	b := w.board
+	return w.host.Leaving && !w.renewed.IsZero() && b.now.Sub(w.renewed) < b.limits.Silence-leftMargin
+}
+
+// quiet reports whether nothing runs on the worker, nor may begin to.
+func (w *Worker) quiet() bool {
+	return len(w.tasks) == 0 && len(w.strays) == 0 && len(w.foreign) == 0 && w.blocked.IsZero() && w.seen == w.taken
 }
 
 func (b *Board) dropGone() {
