--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,9 @@
 
 	policy  atomic.Pointer[policy.Policy]
 	hosts   atomic.Pointer[[]board.Host]
+	// rooms holds the most of each resource that any worker of a service has had
+	// since the process began: workers that are away may come back.
+	rooms   atomic.Pointer[map[core.Service]core.Resources]
 	leaving atomic.Bool
 	// busy counts the calls being answered.
 	busy atomic.Int64
@@ -94,8 +98,21 @@
 	return 0
 }
 
-// SetHosts follows a new list of workers.
-func (e *Entry) SetHosts(hosts []board.Host) { e.hosts.Store(&hosts) }
+// SetHosts follows a new list of workers. It is called by one goroutine.
+func (e *Entry) SetHosts(hosts []board.Host) {
+	e.hosts.Store(&hosts)
+	rooms := map[core.Service]core.Resources{}
+	if old := e.rooms.Load(); old != nil {
+		maps.Copy(rooms, *old)
+	}
+	for _, h := range hosts {
+		r := rooms[h.Service]
+		rooms[h.Service] = core.Resources{
+			Cores: max(r.Cores, h.Room.Cores), Memory: max(r.Memory, h.Room.Memory), Accel: max(r.Accel, h.Room.Accel),
+		}
+	}
+	e.rooms.Store(&rooms)
+}
 
 // Leave has the VM report that it takes no more clients.
 func (e *Entry) Leave() { e.leaving.Store(true) }
@@ -171,6 +188,9 @@
 		if err := spec.Check(); err != nil {
 			return "", core.Refuse(core.CodeBadInput, "%v", err)
 		}
+		if err := e.checkRoom(&spec); err != nil {
+			return "", err
+		}
 		early := e.askEarly(&spec)
 		if err := e.vault.Accept(ctx, spec); err != nil {
 			return "", err
@@ -183,6 +203,22 @@
 	})
 }
 
+// checkRoom refuses a job with a task that no worker of its service has had room
+// for, however empty it was.
+func (e *Entry) checkRoom(spec *jobs.Spec) error {
+	q, rooms := e.policy.Load().Queues[spec.Queue], e.rooms.Load()
+	if q == nil || rooms == nil {
+		return nil
+	}
+	most, known := (*rooms)[q.Service]
+	for i, ph := range spec.Phases {
+		if known && !ph.Need.Fits(most) {
+			return core.Refuse(core.CodeTooLarge, "no worker of the service has room for a task of phase %d", i)
+		}
+	}
+	return nil
+}
+
 // askEarly asks for advice on the first phase while the job is being recorded,
 // if the call is short and nothing waits before it. The channel yields one
 // result.
--- /dev/null
+++ b/io/entry/entry_test.go
@@ -0,0 +1,177 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
+	"chicoryturn/io/entry"
+	"chicoryturn/io/guide"
+)
+
+// outside stands for the store, the owner, the placement policy and the metrics.
+type outside struct {
+	accepted []core.JobID
+	told     []core.JobID
+	states   map[core.JobID]jobs.State
+	// linked is set while the owner answers, knows what it knows of.
+	linked bool
+	knows  map[core.JobID]jobs.State
+	err    error
+}
+
+func (o *outside) Accept(_ context.Context, s jobs.Spec) error {
+	if o.err == nil {
+		o.accepted = append(o.accepted, s.ID)
+	}
+	return o.err
+}
+
+func (o *outside) Cancel(context.Context, core.JobID, time.Time) error { return o.err }
+
+// record answers questions about jobs, as the store does.
+type record struct{ *outside }
+
+func (r record) State(_ context.Context, id core.JobID) (jobs.State, error) {
+	if r.err != nil {
+		return "", r.err
+	}
+	if s, ok := r.states[id]; ok {
+		return s, nil
+	}
+	return "", core.Refuse(core.CodeNoJob, "no job")
+}
+
+func (o *outside) Accepted(s jobs.Spec, _ bool) { o.told = append(o.told, s.ID) }
+
+func (o *outside) Advised(guide.Result) {}
+
+func (o *outside) Cancelled(id core.JobID) { o.told = append(o.told, id) }
+
+func (o *outside) State(_ context.Context, id core.JobID) (jobs.State, bool, error) {
+	if !o.linked {
+		return "", false, context.DeadlineExceeded
+	}
+	s, ok := o.knows[id]
+	return s, ok, nil
+}
+
+func (o *outside) Pending(context.Context, core.Queue) (int, bool, error) {
+	return 3, o.linked, nil
+}
+
+func (o *outside) Ask(a board.Ask, then func(guide.Result)) { then(guide.Result{Ask: a}) }
+
+func (o *outside) Waiting() int { return 0 }
+
+func (o *outside) Call(string, string, time.Duration) {}
+
+func newEntry(o *outside) *entry.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return entry.New(record{o}, o, o, o, log.WithField("part", "entry"))
+}
+
+func rules(version core.Version, key string) *policy.Policy {
+	return policy.New(version,
+		[]policy.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}, {Name: "deep", Host: "h", Prefix: "/q/deep/", Service: "s", Public: true}},
+		[]policy.Team{{Name: "t", Keys: []string{key}}}, []policy.Service{{Name: "s"}}, 0)
+}
+
+func code(err error) core.Code {
+	var r *core.RefusalError
+	if errors.As(err, &r) {
+		return r.Code
+	}
+	return ""
+}
+
+func TestVisit(t *testing.T) {
+	is := is.New(t)
+	e := newEntry(&outside{})
+	_, _, _, err := e.Visit("h", "/q/1", "k")
+	is.Equal(code(err), core.CodeConfig)
+	is.True(!e.Ready())
+	e.SetPolicy(rules(5, "k"))
+	is.True(e.Ready())
+	q, team, rest, err := e.Visit("h:80", "/q/1", "k")
+	is.NoErr(err)
+	is.Equal(q.Name, core.Queue("q"))
+	is.Equal(team, core.Team("t"))
+	is.Equal(rest, "1")
+	q, team, _, err = e.Visit("h", "/q/deep/1", "")
+	is.NoErr(err) // the longest prefix wins, and a public queue needs no key
+	is.Equal(q.Name, core.Queue("deep"))
+	is.Equal(team, core.Team(""))
+	_, _, _, err = e.Visit("h", "/q/1", "other")
+	is.Equal(code(err), core.CodeBadKey)
+	_, _, _, err = e.Visit("other", "/q/1", "k")
+	is.Equal(code(err), core.CodeNoQueue)
+	e.SetPolicy(rules(4, "old")) // an older one changes nothing
+	_, _, _, err = e.Visit("h", "/q/1", "old")
+	is.Equal(code(err), core.CodeBadKey)
+}
+
+func TestSubmit(t *testing.T) {
+	spec := jobs.Spec{ID: "a", Team: "t", Queue: "q", Phases: []jobs.Phase{{Count: 1, Need: core.Resources{Cores: 900}}}}
+	room := func(cores int64) []board.Host {
+		return []board.Host{{VM: core.VM{Name: "w", Service: "s", Room: core.Resources{Cores: cores}}}}
+	}
+	for name, c := range map[string]struct {
+		hosts []board.Host
+		err   error
+		code  core.Code
+	}{
+		"accepted":          {hosts: room(1000)},
+		"no list yet":       {},
+		"larger than any":   {hosts: room(800), code: core.CodeTooLarge},
+		"the store refuses": {hosts: room(1000), err: core.Refuse(core.CodeStore, "away"), code: core.CodeStore},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := &outside{err: c.err}
+			e := newEntry(o)
+			e.SetPolicy(rules(1, "k"))
+			if c.hosts != nil {
+				e.SetHosts(c.hosts)
+			}
+			is.Equal(code(e.Submit(context.Background(), spec)), c.code)
+			is.Equal(len(o.told) == 1, c.code == "") // the owner hears only of what is in the store
+		})
+	}
+}
+
+// TestState asks for jobs that the owner knows, that only the record knows, and
+// that neither does; only the record may say that there is none.
+func TestState(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	o := &outside{linked: true, knows: map[core.JobID]jobs.State{"a": jobs.Running}, states: map[core.JobID]jobs.State{"a": jobs.Queued, "b": jobs.Completed}}
+	e := newEntry(o)
+	s, err := e.State(ctx, "a")
+	is.NoErr(err)
+	is.Equal(s, jobs.Running)
+	s, err = e.State(ctx, "b")
+	is.NoErr(err)
+	is.Equal(s, jobs.Completed)
+	_, err = e.State(ctx, "c")
+	is.Equal(code(err), core.CodeNoJob)
+	o.linked = false
+	s, err = e.State(ctx, "a")
+	is.NoErr(err)
+	is.Equal(s, jobs.Queued)
+	_, err = e.Pending(ctx, "q")
+	is.Equal(code(err), core.CodeOwner)
+	o.err = context.DeadlineExceeded
+	_, err = e.State(ctx, "c")
+	is.Equal(code(err), core.CodeStore) // unsure is not "none"
+}
