--- a/core/board/board.go
+++ b/core/board/board.go
@@ -20,8 +20,9 @@
 	// batchRows bounds the rows of one record; the platform takes 100 entries a
 	// transaction, and the owner's own row is one of them.
 	batchRows = 90
-	// closedJobs bounds the ended jobs that are kept to answer questions.
-	closedJobs = 20000
+	// closedJobs bounds the ended jobs that are kept to answer questions, at some
+	// 5 KB each; of older ones the record tells.
+	closedJobs = 8000
 )
 
 // Limits are the figures of the fleet that bound the board's decisions.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -68,8 +68,8 @@
 	meter   Meter
 	log     *logrus.Entry
 
-	policy  atomic.Pointer[policy.Policy]
-	hosts   atomic.Pointer[[]board.Host]
+	policy atomic.Pointer[policy.Policy]
+	hosts  atomic.Pointer[[]board.Host]
 	// rooms holds the most of each resource that any worker of a service has had
 	// since the process began: workers that are away may come back.
 	rooms   atomic.Pointer[map[core.Service]core.Resources]
