--- a/core/board/board.go
+++ b/core/board/board.go
@@ -32,6 +32,8 @@
 	// Silence is for how long a worker has been silent, at least, when the
 	// platform drops it from its list.
 	Silence time.Duration
+	// Keep is how long clients may ask for an ended job.
+	Keep time.Duration
 	// Gang is how long a gang's tasks wait for one another.
 	Gang time.Duration
 	// Remote multiplies run times away from a phase's rack.
@@ -74,7 +76,8 @@
 	// changes numbers the changes of progress. Those up to confirmed are in the
 	// store, those up to mark will be once the record in flight is.
 	changes, mark, confirmed uint64
-	closed                   []core.JobID
+	// closed holds the ended jobs, the first to end in front.
+	closed []closing
 
 	orders   []Order
 	notes    []Note
@@ -94,6 +97,12 @@
 	state jobs.State
 }
 
+// closing is a job whose end is in the store since a time.
+type closing struct {
+	job core.JobID
+	at  time.Time
+}
+
 // Counts are running totals for metrics.
 type Counts struct {
 	Starts, Refused, Unanswered, Ends, Failures, Cuts, Lapses, Stops, Asks uint64
@@ -236,6 +245,9 @@
 		}
 		j.openUnits()
 		j.settle()
+		if j.state == jobClosed {
+			b.closed = append(b.closed, closing{j.Spec.ID, now})
+		}
 	}
 }
 
@@ -304,15 +316,27 @@
 		if f.state != "" && f.job.state == jobClosing {
 			f.job.fire(jobRecorded)
 			f.job.tellEnd()
-			b.closed = append(b.closed, f.job.Spec.ID)
+			b.closed = append(b.closed, closing{f.job.Spec.ID, now})
 		}
 	}
 	b.flying = nil
 	b.confirmed = b.mark
 	for len(b.closed) > closedJobs {
-		b.forget(b.closed[0])
+		b.forget(b.closed[0].job)
+		b.closed = b.closed[1:]
+	}
+}
+
+// Expired returns, and forgets, jobs that have ended longer ago than clients may
+// ask for them; their rows can be deleted. It returns at most a number of them.
+func (b *Board) Expired(now time.Time, keep time.Duration, most int) []core.JobID {
+	var out []core.JobID
+	for len(b.closed) > 0 && len(out) < most && now.Sub(b.closed[0].at) > keep {
+		out = append(out, b.closed[0].job)
+		b.forget(b.closed[0].job)
 		b.closed = b.closed[1:]
 	}
+	return out
 }
 
 // Returned puts a record back that surely is not in the store.
--- a/core/board/place_test.go
+++ b/core/board/place_test.go
@@ -310,3 +310,23 @@
 	}
 	is.Equal(fmt.Sprint(order), "[flood0 fresh late flood1]")
 }
+
+// TestExpired keeps an ended job for as long as clients may ask for it.
+func TestExpired(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	d.Cancel(d.now, "j")
+	is.Equal(len(d.Expired(d.now.Add(time.Hour), time.Minute, 10)), 0) // not recorded yet
+	d.Batch()
+	d.Recorded(d.now)
+	d.pass(59 * time.Second)
+	is.Equal(len(d.Expired(d.now, time.Minute, 10)), 0)
+	_, known := d.State("j")
+	is.True(known)
+	d.pass(2 * time.Second)
+	is.Equal(d.Expired(d.now, time.Minute, 10), []core.JobID{"j"})
+	_, known = d.State("j")
+	is.True(!known)
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -29,6 +29,12 @@
 	// from VMs that do not, the store is read more often.
 	newsLeast = 150 * time.Millisecond
 	newsMost  = time.Second
+	// tidyPause is the time between two deletions of ended jobs, tidyMost how many
+	// go at once: ten a second, three times the letter's 250,000 a day.
+	tidyPause = 2 * time.Second
+	tidyMost  = 20
+	// keepSlack is added to the time for which ended jobs are kept.
+	keepSlack = 10 * time.Second
 	// recordPause keeps the ends of one moment in one write; each is priced.
 	recordPause = 15 * time.Millisecond
 	// retryPause is the time before a refused write or read is repeated.
@@ -44,6 +50,7 @@
 	Write(ctx context.Context, r vault.Record) (table.Done, error)
 	Load(ctx context.Context) (*vault.Recorded, error)
 	News(ctx context.Context, after uint64) (vault.Recorded, error)
+	Delete(ctx context.Context, ids []core.JobID) error
 }
 
 // Workers carries orders to workers.
@@ -95,8 +102,13 @@
 	nextLook, nextHosts, nextNews     time.Time
 	nextWrite, nextPlan               time.Time
 	wroteAt                           time.Time
-	newsAfter                         uint64
-	newsPause                         time.Duration
+	// nextTidy is when ended jobs are looked for; drops are those whose progress
+	// the next record deletes.
+	nextTidy  time.Time
+	drops     []core.JobID
+	tidying   bool
+	newsAfter uint64
+	newsPause time.Duration
 	// newRoster is the list of workers to be recorded, nil if the record is up
 	// to rosterVersion.
 	newRoster     []board.Host
@@ -186,6 +198,7 @@
 	next := now.Add(reign.Pause)
 	if o.board != nil && awake && !o.leaving {
 		o.news(now)
+		o.tidy(now)
 		if !now.Before(o.nextPlan) {
 			o.plan(now)
 		}
@@ -330,6 +343,34 @@
 	o.soon(now)
 }
 
+// tidy deletes the rows of jobs that ended longer ago than clients may ask for
+// them.
+func (o *Owner) tidy(now time.Time) {
+	if o.tidying || now.Before(o.nextTidy) || len(o.drops) > 0 {
+		return
+	}
+	o.nextTidy = now.Add(tidyPause)
+	ids := o.board.Expired(now, o.limits.Keep+keepSlack, tidyMost)
+	if len(ids) == 0 {
+		return
+	}
+	o.tidying = true
+	epoch := o.board.Epoch()
+	o.call(func(ctx context.Context) func(*Owner, time.Time) {
+		err := o.vault.Delete(ctx, ids)
+		return func(o *Owner, _ time.Time) {
+			o.tidying = false
+			if err != nil {
+				o.log.WithError(err).WithField("jobs", len(ids)).Warn("ended jobs not deleted; a later owner does")
+				return
+			}
+			if o.board != nil && o.board.Epoch() == epoch {
+				o.drops = ids
+			}
+		}
+	})
+}
+
 // SetPolicy follows a newer configuration.
 func (o *Owner) SetPolicy(p *policy.Policy) {
 	o.post(func(o *Owner, now time.Time) {
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -14,6 +14,10 @@
 	"chicoryturn/io/vault"
 )
 
+// dropRoom bounds the rows of progress written and dropped in one record; the
+// platform takes 100 entries a transaction, with the seat and the roster.
+const dropRoom = 80
+
 func isTrimmed(err error) bool {
 	var t *table.TrimmedError
 	return errors.As(err, &t)
@@ -101,7 +105,7 @@
 	}
 	o.log.WithFields(logrus.Fields{"epoch": o.board.Epoch(), "because": why}).Warn("no longer the owner")
 	o.board = nil
-	o.newRoster, o.rosterVersion = nil, 0
+	o.newRoster, o.rosterVersion, o.drops = nil, 0, nil
 	o.meter.Own(false)
 	o.peers.forget()
 }
@@ -127,8 +131,11 @@
 	if o.board != nil {
 		rec.Progress = o.board.Batch()
 		rec.Roster = o.newRoster
+		if len(rec.Progress)+len(o.drops) <= dropRoom {
+			rec.Drops = o.drops
+		}
 	}
-	due := claiming || len(rec.Progress) > 0 || rec.Roster != nil || now.Sub(o.wroteAt) >= reign.Renewal
+	due := claiming || len(rec.Progress) > 0 || len(rec.Drops) > 0 || rec.Roster != nil || now.Sub(o.wroteAt) >= reign.Renewal
 	if !due {
 		return
 	}
@@ -163,6 +170,9 @@
 		if same {
 			o.board.Recorded(now)
 			o.rosterWritten(rec.Roster)
+			if rec.Drops != nil {
+				o.drops = nil
+			}
 			o.soon(now)
 		}
 		return
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -149,6 +149,8 @@
 	// Version is that of the row that Seat replaces.
 	Version  uint64
 	Progress []jobs.Progress
+	// Drops are jobs whose progress is deleted.
+	Drops []core.JobID
 	// Roster is written if it is not nil.
 	Roster []board.Host
 }
@@ -176,9 +178,32 @@
 		}
 		t.Puts = append(t.Puts, p)
 	}
+	for _, id := range r.Drops {
+		t.Drops = append(t.Drops, progressKey(id))
+	}
 	return v.write(ctx, t)
 }
 
+// Delete deletes the rows of jobs that nobody may ask for any more, but for
+// their progress, which an owner's next record drops. What fails is left; a
+// later owner finds it again.
+func (v *Vault) Delete(ctx context.Context, ids []core.JobID) error {
+	byPart := map[int]*table.Txn{}
+	for _, id := range ids {
+		p := partOf(id)
+		if byPart[p] == nil {
+			byPart[p] = &table.Txn{}
+		}
+		byPart[p].Drops = append(byPart[p].Drops, jobKey(id), cancelKey(id))
+	}
+	for _, t := range byPart {
+		if _, err := v.write(ctx, *t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Recorded is all that a new owner takes over.
 type Recorded struct {
 	Specs     []jobs.Spec
--- a/io/vault/vault_test.go
+++ b/io/vault/vault_test.go
@@ -67,6 +67,9 @@
 		return table.Done{}, &table.ConflictError{Rows: present}
 	}
 	m.version++
+	for _, k := range t.Drops {
+		delete(m.rows, k)
+	}
 	for _, p := range t.Puts {
 		m.rows[p.Key] = table.Row{Key: p.Key, Val: p.Val, Version: m.version}
 	}
@@ -285,6 +288,28 @@
 	is.True(time.Since(began) < 300*time.Millisecond)
 }
 
+// TestDelete deletes the rows of ended jobs.
+func TestDelete(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := newMemory()
+	v := open(t, m)
+	for _, id := range []string{"a", "b", "c"} {
+		is.NoErr(v.Accept(ctx, spec(id, "t")))
+	}
+	is.NoErr(v.Cancel(ctx, "b", time.Now()))
+	done, err := v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x"}, Progress: []jobs.Progress{{Job: "a", State: jobs.Completed}, {Job: "b", State: jobs.Cancelled}}})
+	is.NoErr(err)
+	is.NoErr(v.Delete(ctx, []core.JobID{"a", "b"}))
+	_, err = v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x"}, Version: done.Version, Drops: []core.JobID{"a", "b"}})
+	is.NoErr(err)
+	rec, err := v.Load(ctx)
+	is.NoErr(err)
+	is.Equal(len(rec.Specs), 1)
+	is.Equal(len(rec.Progress), 0)
+	is.Equal(len(rec.Cancelled), 0)
+}
+
 // TestBadRows writes rows that cannot be read: the others are.
 func TestBadRows(t *testing.T) {
 	is := is.New(t)
