--- a/io/clock/clock.go
+++ b/io/clock/clock.go
@@ -1,8 +1,9 @@
 // Package clock reads the clocks that tell a suspension of the VM: one counts
-// the time suspended, the other does not.
+// the time suspended, the other does not. It also waits.
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -23,3 +24,16 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Wait waits for a while, or until the context ends; it reports whether the
+// context goes on.
+func Wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,6 +17,7 @@
 	"chicoryturn/core/board"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
+	"chicoryturn/io/clock"
 	"chicoryturn/io/guide"
 )
 
@@ -286,12 +287,8 @@
 			if errors.As(err, &r) {
 				return "", err
 			}
-			t := time.NewTimer(cancelRetry)
-			select {
-			case <-ctx.Done():
-				t.Stop()
+			if !clock.Wait(ctx, cancelRetry) {
 				return "", core.Unknown(core.CodeStore, err, "the cancellation is not confirmed")
-			case <-t.C:
 			}
 		}
 	})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,6 +21,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/policy"
 	"chicoryturn/core/reign"
+	"chicoryturn/io/clock"
 	"chicoryturn/io/entry"
 	"chicoryturn/io/guide"
 	"chicoryturn/io/link"
@@ -262,7 +263,7 @@
 	n.owner.Leave()
 	// Each further answer closes its connection.
 	door.SetKeepAlivesEnabled(false)
-	wait(ctx, min(drainTime, grace/2))
+	clock.Wait(ctx, min(drainTime, grace/2))
 	limit, cancel := context.WithTimeout(ctx, max(grace-exitSlack-time.Since(began), exitSlack))
 	defer cancel()
 	if err := door.Shutdown(limit); err != nil {
@@ -277,15 +278,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // watchPolicy follows the configuration.
 func (n *Node) watchPolicy(ctx context.Context) error {
 	log := n.part("config")
@@ -293,7 +285,7 @@
 		p, version, err := n.lists.Policy(ctx)
 		if err != nil {
 			log.WithError(err).Warn("configuration not read")
-			wait(ctx, policyPause)
+			clock.Wait(ctx, policyPause)
 			continue
 		}
 		n.setPolicy(p)
@@ -303,7 +295,7 @@
 				var trimmed *table.TrimmedError
 				if !errors.As(err, &trimmed) {
 					log.WithError(err).Warn("configuration not followed")
-					wait(ctx, policyPause)
+					clock.Wait(ctx, policyPause)
 				}
 				break
 			}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -30,7 +30,7 @@
 	newsLeast = 150 * time.Millisecond
 	newsMost  = time.Second
 	// tidyPause is the time between two deletions of ended jobs, tidyMost how many
-	// go at once: ten a second, three times the letter's 250,000 a day.
+	// go at once: ten a second, three times 250,000 a day.
 	tidyPause = 2 * time.Second
 	tidyMost  = 20
 	// keepSlack is added to the time for which ended jobs are kept.
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -10,6 +10,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/board"
 	"chicoryturn/core/reign"
+	"chicoryturn/io/clock"
 	"chicoryturn/io/table"
 	"chicoryturn/io/vault"
 )
@@ -236,12 +237,8 @@
 // loadLater repeats a failed load.
 func (o *Owner) loadLater() {
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
-		t := time.NewTimer(retryPause)
-		defer t.Stop()
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, retryPause) {
 			return nil
-		case <-t.C:
 		}
 		return func(o *Owner, _ time.Time) {
 			if o.reign.Mine() {
@@ -292,12 +289,7 @@
 	if o.writing {
 		// The write in flight decides the version of the next one.
 		o.call(func(ctx context.Context) func(*Owner, time.Time) {
-			t := time.NewTimer(recordPause)
-			defer t.Stop()
-			select {
-			case <-ctx.Done():
-			case <-t.C:
-			}
+			clock.Wait(ctx, recordPause)
 			return func(o *Owner, _ time.Time) { o.resign() }
 		})
 		return
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -9,6 +9,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/jobs"
+	"chicoryturn/io/clock"
 	"chicoryturn/io/table"
 )
 
@@ -87,7 +88,7 @@
 		waiting = drain(in, waiting)
 		left := v.record(ctx, waiting)
 		if len(left) == len(waiting) && len(left) > 0 {
-			pause(ctx, againPause)
+			clock.Wait(ctx, againPause)
 		}
 		waiting = expire(left, ctx.Err() != nil)
 	}
@@ -105,15 +106,6 @@
 	return waiting
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // record writes all that waits in one transaction and returns what must be
 // written again.
 func (v *Vault) record(ctx context.Context, waiting []*acceptance) []*acceptance {
