--- a/io/node/node.go
+++ b/io/node/node.go
@@ -134,7 +134,7 @@
 	n.entry = entry.New(n.vault, d, n.guide, gauge{}, n.part("entry"))
 	n.session = session(s.VM)
 	me := reign.Seat{Holder: n.session, VM: s.VM, Addr: s.Peers}
-	n.owner = owner.New(l, n.vault, p.Workers, n.lists, gauge{}, me, patience(s), s.Limits, n.part("owner"),
+	n.owner = owner.New(l, owner.Outside{Vault: n.vault, Workers: p.Workers, Hosts: n.lists, Meter: gauge{}}, me, patience(s), s.Limits, n.part("owner"),
 		owner.WithHostsHook(n.entry.SetHosts),
 		owner.WithSeatHook(func(seat reign.Seat, mine bool) { n.follow(d, seat, mine) }))
 	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, p.Store, n.part("link"))
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -82,7 +81,6 @@
 	hosts   Hosts
 	meter   Meter
 	log     *logrus.Entry
-	random  *rand.Rand
 
 	reign  *reign.Reign
 	limits board.Limits
@@ -126,17 +124,20 @@
 // WithHostsHook has a function told the workers as last listed.
 func WithHostsHook(f func([]board.Host)) Option { return func(o *Owner) { o.onHosts = f } }
 
-// WithSeed fixes the random choices.
-func WithSeed(seed uint64) Option {
-	return func(o *Owner) { o.random = rand.New(rand.NewPCG(seed, seed)) }
+// Outside is what the owner reaches.
+type Outside struct {
+	Vault   Vault
+	Workers Workers
+	Hosts   Hosts
+	Meter   Meter
 }
 
 // New returns the control state of a process that has not read the seat yet.
-func New(l *loop.Loop, v Vault, w Workers, h Hosts, m Meter, me reign.Seat, patience time.Duration, limits board.Limits, log *logrus.Entry, opts ...Option) *Owner {
+// Me is the seat as the process would hold it; patience delays its claims.
+func New(l *loop.Loop, out Outside, me reign.Seat, patience time.Duration, limits board.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
-		loop: l, vault: v, workers: w, hosts: h, meter: m, log: log, limits: limits,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		reign:  reign.New(me, patience), peers: newPeers(),
+		loop: l, vault: out.Vault, workers: out.Workers, hosts: out.Hosts, meter: out.Meter, log: log, limits: limits,
+		reign: reign.New(me, patience), peers: newPeers(),
 		onSeat: func(reign.Seat, bool) {}, onHosts: func([]board.Host) {},
 		left: make(chan struct{}),
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -97,39 +97,47 @@
 	return errors.As(err, &refused) || errors.As(err, &down)
 }
 
-// do carries out a call on one of the two ways. A call that was surely refused
-// directly is carried on at once; one without answer is left to its caller,
-// which must first learn what has become of it.
+// do carries out a call on one of the two ways.
 func (s *Store) do(ctx context.Context, c table.Call) table.Outcome {
 	direct, trial := s.route()
-	if direct {
-		sub, cancel := ctx, context.CancelFunc(func() {})
-		if trial && c.Write == nil {
-			sub, cancel = context.WithTimeout(ctx, quick)
-		}
-		o := table.Do(sub, s.direct, c)
-		cancel()
-		err := o.Err()
-		s.learn(err)
-		if !turnedAway(err) || o.Down != "" && !trial {
-			return o
-		}
-		if o.Down != "" && c.Write != nil {
+	if !direct {
+		if o, err := s.carry(ctx, c); err == nil {
 			return o
 		}
+		// Nobody can be asked.
+		return s.try(ctx, c, false)
+	}
+	o := s.try(ctx, c, trial)
+	if detours(c, o, trial) {
 		if other, err := s.carry(ctx, c); err == nil {
 			return other
 		}
-		return o
 	}
-	o, err := s.carry(ctx, c)
-	if err != nil {
-		o = table.Do(ctx, s.direct, c)
-		s.learn(o.Err())
+	return o
+}
+
+// try makes a direct call; a trial read gives up early.
+func (s *Store) try(ctx context.Context, c table.Call, trial bool) table.Outcome {
+	if trial && c.Write == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, quick)
+		defer cancel()
 	}
+	o := table.Do(ctx, s.direct, c)
+	s.learn(o.Err())
 	return o
 }
 
+// detours reports whether a call that has failed directly is carried on at once:
+// one that was surely refused, and a trial read. Any other without answer is
+// left to its caller; a write may have taken effect.
+func detours(c table.Call, o table.Outcome, trial bool) bool {
+	if o.Down != "" {
+		return trial && c.Write == nil
+	}
+	return turnedAway(o.Err())
+}
+
 func (s *Store) carry(ctx context.Context, c table.Call) (table.Outcome, error) {
 	o, err := s.carrier.Carry(ctx, c)
 	if err == nil {
