--- a/core/board/model_test.go
+++ b/core/board/model_test.go
@@ -124,7 +124,7 @@
 // live on, unaware.
 func (f *fleet) succeed() {
 	o := &owner{board: board.New(f.now, core.Epoch(len(f.owners)+1), board.Limits{Lease: lease, Silence: 4500 * time.Millisecond, Remote: 1}, f.policy)}
-	o.board.Recover(f.roster)
+	o.board.Recover(f.roster, nil)
 	o.board.Load(f.now, slices.Clone(f.stored), maps.Clone(f.kept))
 	f.owners = append(f.owners, o)
 	f.list(o)
--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -185,6 +185,33 @@
 	is.Equal(len(d.Roster()), 1)
 }
 
+// TestAbsence plays a new owner whose process has seen a worker of the roster
+// missing from the list for long: older tasks need not wait for it. A gap in the
+// readings shows nothing.
+func TestAbsence(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause  time.Duration
+		starts int
+	}{"seen all the while": {2 * time.Second, 1}, "with gaps": {4 * time.Second, 0}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(2, 2)
+			a := board.NewAbsence()
+			a.Listed(d.now, d.hosts)
+			for range 4 {
+				d.pass(c.pause)
+				a.Listed(d.now, d.hosts[:1])
+			}
+			d.Recover(d.hosts, a.Since())
+			d.Load(d.now, []jobs.Spec{plain("j", 1, false)}, nil)
+			d.SetHosts(d.now, d.hosts[:1])
+			d.Known(d.Roster())
+			d.held(d.hosts[0], nil, nil)
+			is.Equal(len(d.plan(board.OrderStart)), c.starts)
+		})
+	}
+}
+
 // TestEndOfUnknownJob plays an end that reaches a new owner before the job
 // does: the task must not run again.
 func TestEndOfUnknownJob(t *testing.T) {
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -140,11 +140,13 @@
 	b.changed = true
 }
 
-// Recover adds the workers that an earlier owner may have used.
-func (b *Board) Recover(hosts []Host) {
+// Recover adds the workers that an earlier owner may have used. Absent tells
+// since when the platform has not listed a worker, as far as this process has
+// seen.
+func (b *Board) Recover(hosts []Host, absent map[core.WorkerID]time.Time) {
 	for _, h := range hosts {
 		if b.workers[h.Worker()] == nil {
-			b.addWorker(h.Worker(), h)
+			b.addWorker(h.Worker(), h).missing = absent[h.Worker()]
 		}
 	}
 }
@@ -216,7 +218,7 @@
 func (w *Worker) unlist() {
 	b := w.board
 	w.listed = false
-	if w.missing.IsZero() || b.now.Sub(b.listedAt) > listGap {
+	if w.missing.IsZero() || !b.listedAt.IsZero() && b.now.Sub(b.listedAt) > listGap {
 		w.missing = b.now
 	}
 	gone := b.now.Sub(w.missing)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -61,6 +61,10 @@
 	// settingsPause is the time between two looks at the settings, which may
 	// change without a signal.
 	settingsPause = 3 * time.Second
+	// recordSize is what a new owner reads on a busy day, in megabits: 3,000 jobs
+	// of 2.5 KB. slowestLink bounds the delay of a VM with a slow link.
+	recordSize  = 60.0
+	slowestLink = 4 * time.Second
 	// headerTime bounds the time in which a client sends its headers.
 	headerTime = 5 * time.Second
 	// idleTime bounds the time that a connection is kept without a call.
@@ -147,9 +151,14 @@
 	return n.log.WithFields(logrus.Fields{"vm": n.settings.VM, "part": name})
 }
 
-// patience delays the claims of small VMs.
+// patience delays the claims of small VMs, and of those that would take long to
+// read what is recorded.
 func patience(s Settings) time.Duration {
-	return time.Duration(max(1-s.Share/ampleShare, 0) * float64(unhurried))
+	p := time.Duration(max(1-s.Share/ampleShare, 0) * float64(unhurried))
+	if s.Link > 0 {
+		p += min(time.Duration(recordSize/s.Link*float64(time.Second)), slowestLink)
+	}
+	return p
 }
 
 func session(vm string) core.SessionID {
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -19,9 +19,11 @@
 	// Callers and Probes are where clients and readiness probes come in; Peers
 	// is where other VMs do, Ops where operators do.
 	Callers, Probes, Peers, Ops netip.AddrPort
-	// Share is the part of a core that the process may use, Memory the bytes.
+	// Share is the part of a core that the process may use, Memory the bytes,
+	// Link the megabits a second of the VM's network; 0 means not told.
 	Share  float64
 	Memory int64
+	Link   float64
 	Limits board.Limits
 	// Grace is the time between the order to stop and the end by force.
 	Grace time.Duration
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -94,6 +94,7 @@
 	// onHosts is told the workers as last listed.
 	onHosts func([]board.Host)
 	listed  []board.Host
+	absence *board.Absence
 	hostsAt time.Time
 
 	reading, writing, listing, asking bool
@@ -137,7 +138,7 @@
 func New(l *loop.Loop, out Outside, me reign.Seat, patience time.Duration, limits board.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
 		loop: l, vault: out.Vault, workers: out.Workers, hosts: out.Hosts, meter: out.Meter, log: log, limits: limits,
-		reign: reign.New(me, patience), peers: newPeers(),
+		reign: reign.New(me, patience), peers: newPeers(), absence: board.NewAbsence(), newsPause: newsMost,
 		onSeat: func(reign.Seat, bool) {}, onHosts: func([]board.Host) {},
 		left: make(chan struct{}),
 	}
@@ -274,6 +275,7 @@
 				o.log.WithError(e).Warn("worker left out")
 			}
 			o.listed, o.hostsAt = hosts, now
+			o.absence.Listed(now, hosts)
 			o.onHosts(hosts)
 			if o.board != nil {
 				o.board.SetHosts(now, hosts)
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -260,7 +260,7 @@
 	}
 	if o.board == nil {
 		o.board = board.New(now, epoch, o.limits, o.policy)
-		o.board.Recover(rec.Roster)
+		o.board.Recover(rec.Roster, o.absence.Since())
 		o.newRoster, o.rosterVersion = nil, 0
 		o.meter.Own(true)
 	}
