Name workers with room in calls for advice

Change: a call names the allowed workers with room whose tickets have aged, then as many others with room as are likely to be allowed, by the share that earlier answers of the queue tell. Turns to spare learn who may run what has no room.

TestAskWhereRoomIs fails before.

--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -27,9 +27,24 @@
 	// askAgain is the time before a phase that no call would help is looked into
 	// again.
 	askAgain = 25 * time.Millisecond
-	// spareWorkers is how many workers beyond those needed a repeated call names,
-	// since room goes elsewhere meanwhile.
+	// spareWorkers is for how many tasks more than needed a call names workers
+	// that are known to be allowed, since room goes elsewhere meanwhile.
 	spareWorkers = 2
+	// askMargin times the tasks that wait is for how many a call names workers
+	// that may or may not be allowed, askLeast the fewest that it names.
+	askMargin = 1.5
+	askLeast  = 8
+	// askPart divides the tasks that wait into the fewest that a call should
+	// find room for.
+	askPart = 4
+	// unknownShare is the part of the workers that counts as allowed before a
+	// queue's calls have told, with the weight of shareTrust workers named.
+	// Beyond shareMemory older answers weigh less.
+	unknownShare = 0.4
+	shareTrust   = 20.0
+	shareMemory  = 2000.0
+	// mixer spreads the bits of two hashes: 2^64 over the golden ratio.
+	mixer = 0x9e3779b97f4a7c15
 )
 
 // advice is what is known of the workers that may run a phase.
@@ -83,9 +98,13 @@
 	if a.allowed == nil {
 		a.allowed, a.named = map[core.WorkerID]ticket{}, core.NewSet[core.WorkerID]()
 	}
+	before := len(a.named)
 	for _, w := range named {
 		a.named.Add(w)
 	}
+	if before == 0 {
+		b.learnShare(u.job.Spec.Queue, len(named), len(allowed))
+	}
 	for _, w := range allowed {
 		a.allowed[w.Worker] = ticket{w.Ticket, now.Add(valid)}
 	}
@@ -158,95 +177,180 @@
 type Turns interface {
 	// Free reports whether a call of some length would begin soon.
 	Free(cost time.Duration) bool
+	// Spare reports whether more turns are free than calls are likely to come.
+	Spare() bool
 	// Take hands a call out.
 	Take(a Ask)
 }
 
 // Ask hands out the calls for advice that are worth their time now, the most
 // urgent first. A call that would only wait is not made: by the time it begins,
-// other work may be more urgent, and room elsewhere.
+// other work may be more urgent, and room elsewhere. Turns that are to spare
+// learn who may run phases that have no room yet.
 func (b *Board) Ask(now time.Time, turns Turns) {
 	b.now = now
 	if !turns.Free(0) {
 		return
 	}
+	var later []*unit
 	for _, u := range b.ranked() {
 		p, ok := u.policy().Get()
 		asking := !u.advice.asked.IsZero() && now.Before(u.advice.lost)
 		if !ok || asking || now.Before(u.advice.idle) || !u.startable() || !turns.Free(p.Base) {
 			continue
 		}
-		names := u.worthAsking()
-		if len(names) == 0 {
-			u.advice.idle = now.Add(askAgain)
+		if names := u.worthAsking(); len(names) > 0 {
+			b.handOut(turns, u, p, names)
 			continue
 		}
-		u.advice.wait(now, p, len(names))
-		b.counts.Asks++
-		turns.Take(Ask{Phase: u.id, Workers: names, Cost: p.Cost(len(names))})
+		u.advice.idle = now.Add(askAgain)
+		if !u.advice.known {
+			later = append(later, u)
+		}
+	}
+	for _, u := range later {
+		if !turns.Spare() {
+			return
+		}
+		if p, ok := u.policy().Get(); ok {
+			if names := u.chances().unnamed(askMost); len(names) > 0 {
+				b.handOut(turns, u, p, names)
+			}
+		}
 	}
 }
 
-// worthAsking returns the workers whose tickets would let tasks start: all of
-// them at first, later those that have room.
-func (u *unit) worthAsking() []core.WorkerID {
+func (b *Board) handOut(turns Turns, u *unit, p policy.Advice, names []core.WorkerID) {
+	u.advice.wait(b.now, p, len(names))
+	b.counts.Asks++
+	turns.Take(Ask{Phase: u.id, Workers: names, Cost: p.Cost(len(names))})
+}
+
+// chance is a worker with room for some tasks of a phase.
+type chance struct {
+	worker core.WorkerID
+	slots  int
+	// order spreads the calls of many phases over workers that are alike.
+	order uint64
+}
+
+// chances are the workers that a call for a phase may name.
+type chances struct {
+	// ready is how many tasks fit where tickets are good.
+	ready int
+	// stale are allowed workers with room whose tickets have aged, fresh those
+	// that no call has named, with room or without.
+	stale, fresh []chance
+}
+
+// chances looks through the fleet for workers that a call may name. The tasks
+// of a gang go to as few workers as possible, as each one named takes time;
+// other work leaves large gaps alone.
+func (u *unit) chances() chances {
 	b := u.job.board
 	need := u.need()
-	type chance struct {
-		w     *Worker
-		slots int
-	}
-	var fresh []core.WorkerID
-	var stale []chance
-	ready, room := 0, 0
 	renewBefore := b.now.Add(ticketSlack)
+	var out chances
 	for _, w := range b.byName {
 		if !u.suits(w) {
 			continue
 		}
-		if !u.advice.known || !u.advice.named.Has(w.id) {
-			fresh = append(fresh, w.id)
-			continue
-		}
-		t, ok := u.advice.allowed[w.id]
-		if !ok {
-			continue
-		}
-		slots := u.slots(w, need, w.free)
-		if slots == 0 {
-			continue
-		}
-		room += slots
-		if t.until.After(renewBefore) {
-			ready += slots
-		} else {
-			stale = append(stale, chance{w, slots})
+		c := chance{w.id, u.slots(w, need, w.free), (w.order ^ u.order) * mixer}
+		t, allowed := u.advice.allowed[w.id]
+		switch {
+		case !u.advice.named.Has(w.id):
+			out.fresh = append(out.fresh, c)
+		case !allowed || c.slots == 0:
+		case t.until.After(renewBefore):
+			out.ready += c.slots
+		default:
+			out.stale = append(out.stale, c)
 		}
 	}
-	if !u.advice.known {
-		return fresh[:min(len(fresh), askMost)]
+	sortChances(out.stale, true)
+	sortChances(out.fresh, u.phase.Gang)
+	return out
+}
+
+// sortChances puts workers with room in front, those with most of it first if
+// roomiest is set.
+func sortChances(list []chance, roomiest bool) {
+	slices.SortFunc(list, func(x, y chance) int {
+		if roomiest {
+			return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(x.order, y.order))
+		}
+		return cmp.Or(cmp.Compare(min(y.slots, 1), min(x.slots, 1)), cmp.Compare(x.order, y.order))
+	})
+}
+
+// unnamed returns workers that no call has named yet, at most some.
+func (c chances) unnamed(most int) []core.WorkerID {
+	var out []core.WorkerID
+	for _, f := range c.fresh[:min(len(c.fresh), most)] {
+		out = append(out, f.worker)
 	}
-	wanted := u.idle
-	if ready >= wanted || !b.withinLimit(u, need, u.least()) {
+	return out
+}
+
+// worthAsking returns the workers whose tickets would let enough tasks start:
+// those known to be allowed, then as many others as are likely to be.
+func (u *unit) worthAsking() []core.WorkerID {
+	b := u.job.board
+	c := u.chances()
+	if c.ready >= u.idle || !b.withinLimit(u, u.need(), u.least()) {
 		return nil
 	}
-	if room < u.least() {
-		// No room to start; workers that have joined since may have some.
-		return fresh[:min(len(fresh), askMost)]
-	}
-	slices.SortStableFunc(stale, func(a, b chance) int { return cmp.Compare(b.slots, a.slots) })
 	var out []core.WorkerID
-	got := ready
-	for _, c := range stale {
-		if got >= wanted+spareWorkers || len(out) == askMost {
+	got := float64(c.ready)
+	for _, s := range c.stale {
+		if got >= float64(u.idle+spareWorkers) || len(out) == askMost {
+			break
+		}
+		out = append(out, s.worker)
+		got += float64(s.slots)
+	}
+	share, wanted := b.allowedShare(u.job.Spec.Queue), askMargin*float64(u.idle)
+	for _, f := range c.fresh {
+		if f.slots == 0 || len(out) == askMost || got >= wanted && len(out) >= askLeast {
 			break
 		}
-		out = append(out, c.w.id)
-		got += c.slots
+		out = append(out, f.worker)
+		got += share * float64(min(f.slots, u.idle))
+	}
+	if got < float64(u.worthLeast()) {
+		return nil
 	}
 	return out
 }
 
+// worthLeast is for how many tasks a call must find room: it takes about the
+// same time for one task as for many.
+func (u *unit) worthLeast() int {
+	if u.phase.Gang {
+		return u.phase.Count
+	}
+	return u.idle / askPart
+}
+
+// odds is how many of the workers named for a queue have been allowed.
+type odds struct{ named, allowed float64 }
+
+// allowedShare returns the part of the workers that a queue's policy allows, as
+// far as its answers have told.
+func (b *Board) allowedShare(q core.Queue) float64 {
+	o := b.odds[q]
+	return (unknownShare*shareTrust + o.allowed) / (shareTrust + o.named)
+}
+
+// learnShare takes in one answer.
+func (b *Board) learnShare(q core.Queue, named, allowed int) {
+	o := b.odds[q]
+	if o.named > shareMemory {
+		o.named, o.allowed = o.named/2, o.allowed/2
+	}
+	b.odds[q] = odds{o.named + float64(named), o.allowed + float64(allowed)}
+}
+
 // least is how many tasks must start together.
 func (u *unit) least() int {
 	if u.phase.Gang {
--- /dev/null
+++ b/core/board/advice_test.go
@@ -0,0 +1,94 @@
+package board_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/policy"
+)
+
+// wide is a fleet of many workers whose queue has a placement policy. The
+// first half of the workers by name is full.
+func wide(is *is.I, workers int) *desk {
+	p := policy.New(1, []policy.Queue{{
+		Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 4, Latency: time.Second,
+		Advice: core.Some(policy.Advice{Base: 10 * time.Millisecond, PerWorker: time.Millisecond, Valid: time.Second}),
+	}, {
+		Name: "any", Host: "h", Prefix: "/any/", Service: "s", Attempts: 3, Slowdown: 4, Latency: time.Second,
+	}}, []policy.Team{{Name: "t", Weight: 1000}}, []policy.Service{{Name: "s"}}, 0)
+	d := &desk{now: dawn, Board: board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)}
+	for i := range workers {
+		h := host(i)
+		h.Name, h.Born = fmt.Sprintf("w%03d", i), dawn.Add(-time.Hour)
+		h.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80)
+		d.hosts = append(d.hosts, h)
+	}
+	d.open()
+	filler := plain("filler", workers/2, false)
+	filler.Queue, filler.Phases[0].Need.Cores = "any", 4000
+	d.Accept(d.now, filler)
+	for _, s := range d.plan(board.OrderStart) {
+		is.True(s.Worker < "w150")
+		d.begin([]board.Order{s})
+	}
+	return d
+}
+
+// TestAskWhereRoomIs plays a large fleet, half of it full. A call names workers
+// that have room, no more of them than are likely to be needed, and calls of
+// several jobs do not all name the same ones.
+func TestAskWhereRoomIs(t *testing.T) {
+	is := is.New(t)
+	d := wide(is, 300)
+	named := func(id string, count int, gang bool) []core.WorkerID {
+		d.Accept(d.now, plain(id, count, gang))
+		d.plan(board.OrderStart)
+		ts := &turns{}
+		d.Ask(d.now, ts)
+		is.Equal(len(ts.asks), 1)
+		is.Equal(ts.asks[0].Phase.Job, core.JobID(id))
+		for _, w := range ts.asks[0].Workers {
+			is.True(w >= "w150") // it has room
+		}
+		return ts.asks[0].Workers
+	}
+	first, second := named("a", 3, false), named("b", 3, false)
+	is.True(len(first) <= 20)
+	is.True(fmt.Sprint(first) != fmt.Sprint(second))
+	is.True(len(named("g", 60, true)) <= 100)
+}
+
+// TestAskAgainWhereKnown plays a gang whose first call has allowed too few
+// workers: the next one names those with the others that may be allowed, and no
+// call is made while room is short.
+func TestAskAgainWhereKnown(t *testing.T) {
+	is := is.New(t)
+	d := wide(is, 300)
+	d.Accept(d.now, plain("g", 40, true))
+	d.plan(board.OrderStart)
+	ts := &turns{}
+	d.Ask(d.now, ts)
+	first := ts.asks[0]
+	d.Advised(d.now, first.Phase, first.Workers, []board.Allowed{{Worker: first.Workers[0], Ticket: "a"}}, time.Second)
+	is.Equal(len(d.plan(board.OrderStart)), 0) // 4 of 40 fit
+	ts.busy = false
+	d.Ask(d.now, ts)
+	is.Equal(len(ts.asks), 2)
+	for _, w := range ts.asks[1].Workers {
+		for _, old := range first.Workers {
+			is.True(w != old) // its ticket is good, or it is not allowed
+		}
+	}
+	var allowed []board.Allowed
+	for _, w := range ts.asks[1].Workers {
+		allowed = append(allowed, board.Allowed{Worker: w, Ticket: "b"})
+	}
+	d.Advised(d.now, first.Phase, ts.asks[1].Workers, allowed, time.Second)
+	is.Equal(len(d.plan(board.OrderStart)), 40)
+}
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -60,6 +60,8 @@
 	// not been heard of.
 	used   map[core.Team]core.Resources
 	shares map[core.Team]*share
+	// odds tell how many of the workers named for a queue have been allowed.
+	odds map[core.Queue]odds
 	// held are the recovered tasks that may run on a worker not heard of yet.
 	held map[*Task]struct{}
 	// roster numbers the changes of the list of workers.
@@ -125,7 +127,7 @@
 		epoch: epoch, now: now, limits: limits, policy: p, guess: cell.NewGuess(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{},
 		open: map[*unit]struct{}{}, timed: map[*unit]struct{}{},
-		used: map[core.Team]core.Resources{}, shares: map[core.Team]*share{}, held: map[*Task]struct{}{}, dirty: map[core.JobID]*Job{},
+		used: map[core.Team]core.Resources{}, shares: map[core.Team]*share{}, odds: map[core.Queue]odds{}, held: map[*Task]struct{}{}, dirty: map[core.JobID]*Job{},
 	}
 }
 
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chicoryturn/core"
 	"chicoryturn/core/chart"
 	"chicoryturn/core/jobs"
@@ -40,6 +42,8 @@
 	id    jobs.PhaseID
 	job   *Job
 	phase *jobs.Phase
+	// order is a hash of the job's name.
+	order uint64
 	// base is the position of the first task within the job.
 	base  int
 	tasks []*Task
@@ -70,10 +74,11 @@
 	if j.arrived.IsZero() || j.arrived.After(b.now) {
 		j.arrived = b.now
 	}
+	order := xxhash.Sum64String(string(spec.ID))
 	for occ := range spec.Occurrences() {
 		for p := range j.Spec.Phases {
 			phase := &j.Spec.Phases[p]
-			u := &unit{id: jobs.PhaseID{Job: spec.ID, Occurrence: occ, Phase: p}, job: j, phase: phase, base: len(j.tasks), left: phase.Count, idle: phase.Count}
+			u := &unit{id: jobs.PhaseID{Job: spec.ID, Occurrence: occ, Phase: p}, job: j, phase: phase, order: order, base: len(j.tasks), left: phase.Count, idle: phase.Count}
 			for i := range phase.Count {
 				t := &Task{unit: u, index: i, state: taskChart.Start()}
 				u.tasks = append(u.tasks, t)
--- a/core/board/place_test.go
+++ b/core/board/place_test.go
@@ -211,6 +211,9 @@
 // Free implements board.Turns.
 func (t *turns) Free(time.Duration) bool { return !t.busy }
 
+// Spare implements board.Turns.
+func (t *turns) Spare() bool { return !t.busy }
+
 // Take implements board.Turns.
 func (t *turns) Take(a board.Ask) {
 	t.asks = append(t.asks, a)
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chicoryturn/core"
 	"chicoryturn/core/chart"
 	"chicoryturn/core/jobs"
@@ -67,6 +69,8 @@
 type Worker struct {
 	id    core.WorkerID
 	board *Board
+	// order is a hash of the name.
+	order uint64
 	state chart.State
 	host  Host
 	// recorded is set once the worker is in the roster that a later owner reads.
@@ -180,7 +184,7 @@
 }
 
 func (b *Board) addWorker(id core.WorkerID, h Host) *Worker {
-	w := &Worker{id: id, board: b, state: workerChart.Start(), host: h, free: h.Room, tasks: map[jobs.TaskID]*Task{}}
+	w := &Worker{id: id, board: b, order: xxhash.Sum64String(string(id)), state: workerChart.Start(), host: h, free: h.Room, tasks: map[jobs.TaskID]*Task{}}
 	b.workers[id] = w
 	b.roster++
 	i, _ := slices.BinarySearchFunc(b.byName, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
--- a/io/owner/peers.go
+++ b/io/owner/peers.go
@@ -128,6 +128,17 @@
 // Free implements board.Turns.
 func (p *peers) Free(cost time.Duration) bool { return p.pick(cost) != nil }
 
+// Spare implements board.Turns: it reports whether most VMs are idle.
+func (p *peers) Spare() bool {
+	idle := 0
+	for _, l := range p.list {
+		if l.load == 0 {
+			idle++
+		}
+	}
+	return idle > len(p.list)/2
+}
+
 // Take implements board.Turns.
 func (p *peers) Take(a board.Ask) {
 	l := p.pick(a.Cost)
