Hand cells over to the process that they are offered to

Ruled out: the load (the flapping goes on by itself); the heir (its session was live, its log shows no claim that failed).

Change: a won or released claim starts the time anew, and a process waits longer for a cell that is offered to another live one. TestHandOver fails before.

--- a/core/member/plan.go
+++ b/core/member/plan.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -164,7 +165,7 @@
 				turn++
 			}
 		}
-		if mine >= fair {
+		if mine >= fair || slices.Contains(heirs, h.claim.Offer) {
 			turn += len(heirs)
 		}
 		if now.Before(h.freeSince.Add(time.Duration(turn) * stagger)) {
@@ -240,6 +241,7 @@
 		return
 	}
 	m.SetClaim(c, version)
+	h.freeSince = time.Time{}
 	m.note(cellChart.Fire(&h.state, cellReleased, h))
 }
 
@@ -257,6 +259,7 @@
 		return
 	}
 	m.SetClaim(c, version)
+	h.freeSince = time.Time{}
 	m.note(cellChart.Fire(&h.state, cellWon, h))
 }
 
