Cut-off VMs refuse at once and report not ready; hints of where room is

Ruled out: the owner's choice of work (first starts within 223 ms for half of the jobs that were taken).

TestCutOff, TestAway, TestReadyWhileCutOff.

--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -135,13 +135,14 @@
 	if !ok {
 		return 0
 	}
-	u.advice.wait(now, p, len(b.byName))
-	return p.Cost(min(len(b.byName), askMost))
+	n := min(len(b.byName), earlyCount(p, u.phase.Count))
+	u.advice.wait(now, p, n)
+	return p.Cost(n)
 }
 
 func (a *advice) wait(now time.Time, p policy.Advice, workers int) {
 	a.asked = now
-	a.lost = now.Add(askPatience*p.Cost(min(workers, askMost)) + askGrace)
+	a.lost = now.Add(askPatience*p.Cost(workers) + askGrace)
 }
 
 // expire follows the refusal of a ticket: those that came with it are no better.
@@ -199,7 +200,7 @@
 		if !ok || asking || now.Before(u.advice.idle) || !u.startable() || !turns.Free(p.Base) {
 			continue
 		}
-		if names := u.worthAsking(); len(names) > 0 {
+		if names := u.worthAsking(p); len(names) > 0 {
 			b.handOut(turns, u, p, names)
 			continue
 		}
@@ -294,7 +295,7 @@
 
 // worthAsking returns the workers whose tickets would let enough tasks start:
 // those known to be allowed, then as many others as are likely to be.
-func (u *unit) worthAsking() []core.WorkerID {
+func (u *unit) worthAsking(p policy.Advice) []core.WorkerID {
 	b := u.job.board
 	c := u.chances()
 	if c.ready >= u.idle || !b.withinLimit(u, u.need(), u.least()) {
@@ -311,7 +312,7 @@
 	}
 	share, wanted := b.allowedShare(u.job.Spec.Queue), askMargin*float64(u.idle)
 	for _, f := range c.fresh {
-		if f.slots == 0 || len(out) == askMost || got >= wanted && len(out) >= askLeast {
+		if f.slots == 0 || len(out) == askMost || got >= wanted && len(out) >= cheapNames(p) {
 			break
 		}
 		out = append(out, f.worker)
--- a/core/board/advice_test.go
+++ b/core/board/advice_test.go
@@ -18,7 +18,7 @@
 func wide(is *is.I, workers int) *desk {
 	p := policy.New(1, []policy.Queue{{
 		Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 4, Latency: time.Second,
-		Advice: core.Some(policy.Advice{Base: 10 * time.Millisecond, PerWorker: time.Millisecond, Valid: time.Second}),
+		Advice: core.Some(policy.Advice{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: time.Second}),
 	}, {
 		Name: "any", Host: "h", Prefix: "/any/", Service: "s", Attempts: 3, Slowdown: 4, Latency: time.Second,
 	}}, []policy.Team{{Name: "t", Weight: 1000}}, []policy.Service{{Name: "s"}}, 0)
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -23,6 +23,11 @@
 	// closedJobs bounds the ended jobs that are kept to answer questions, at some
 	// 5 KB each; of older ones the record tells.
 	closedJobs = 8000
+	// leaseMost bounds the leases granted, where the platform allows longer ones:
+	// what a silent worker ran may start elsewhere only once its lease has ended.
+	// It outlasts a change of owner, 2.5 s, with the reading of the record and the
+	// first contact, some 1.5 s, and the age of the last renewal, 1.5 s.
+	leaseMost = 6 * time.Second
 )
 
 // Limits are the figures of the fleet that bound the board's decisions.
@@ -121,10 +126,16 @@
 	Because string
 }
 
+// bounded returns the limits that the board goes by.
+func (l Limits) bounded() Limits {
+	l.Lease = min(l.Lease, leaseMost)
+	return l
+}
+
 // New returns an empty board under a new owner's epoch.
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy) *Board {
 	return &Board{
-		epoch: epoch, now: now, limits: limits, policy: p, guess: cell.NewGuess(),
+		epoch: epoch, now: now, limits: limits.bounded(), policy: p, guess: cell.NewGuess(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{},
 		open: map[*unit]struct{}{}, timed: map[*unit]struct{}{},
 		used: map[core.Team]core.Resources{}, shares: map[core.Team]*share{}, odds: map[core.Queue]odds{}, held: map[*Task]struct{}{}, dirty: map[core.JobID]*Job{},
@@ -138,7 +149,7 @@
 func (b *Board) Counts() Counts { return b.counts }
 
 // SetLimits follows changed figures of the fleet.
-func (b *Board) SetLimits(l Limits) { b.limits = l }
+func (b *Board) SetLimits(l Limits) { b.limits = l.bounded() }
 
 // SetPolicy follows a newer configuration.
 func (b *Board) SetPolicy(p *policy.Policy) {
--- /dev/null
+++ b/core/board/early.go
@@ -0,0 +1,73 @@
+package board
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chicoryturn/core"
+	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
+)
+
+const (
+	// RoomyPause is the time between two hints of where room is, in which a
+	// third of the fleet's short tasks end.
+	RoomyPause = 250 * time.Millisecond
+	// RoomyFresh is how long a hint is used.
+	RoomyFresh = 4 * RoomyPause
+	// roomyPart of a worker's room must be free for it to be in a hint.
+	roomyPart = 6
+	// roomyMost bounds the workers of a hint, for the links between VMs.
+	roomyMost = 100
+)
+
+// Roomy returns workers on which a task of common size finds room. VMs that
+// take jobs ask for advice on these before the owner has heard of the job.
+func (b *Board) Roomy(now time.Time) []core.WorkerID {
+	b.now = now
+	var out []core.WorkerID
+	for _, w := range b.byName {
+		room := w.host.Room
+		if w.usable() && w.free.Cores >= room.Cores/roomyPart && w.free.Memory >= room.Memory/roomyPart {
+			out = append(out, w.id)
+		}
+	}
+	if len(out) > roomyMost {
+		spread(out, uint64(now.UnixNano()))
+		out = out[:roomyMost]
+	}
+	return out
+}
+
+// spread orders workers by a hash that differs by seed.
+func spread(ids []core.WorkerID, seed uint64) {
+	order := func(id core.WorkerID) uint64 { return (xxhash.Sum64String(string(id)) ^ seed) * mixer }
+	slices.SortFunc(ids, func(x, y core.WorkerID) int { return cmp.Compare(order(x), order(y)) })
+}
+
+// EarlyNames returns the workers that a VM names in its own call for the first
+// phase of a job that it has just taken, of those that may have room.
+func EarlyNames(spec *jobs.Spec, p policy.Advice, candidates []core.WorkerID) []core.WorkerID {
+	out := slices.Clone(candidates)
+	spread(out, xxhash.Sum64String(string(spec.ID)))
+	return out[:min(len(out), earlyCount(p, spec.Phases[0].Count))]
+}
+
+// earlyCount is how many workers a call names that knows neither how much room
+// each of them has nor how many are likely to be allowed.
+func earlyCount(p policy.Advice, tasks int) int {
+	return min(max(int(math.Ceil(askMargin*float64(tasks)/unknownShare)), cheapNames(p)), askMost)
+}
+
+// cheapNames is how many workers a call names at least: naming them takes half
+// as long as the call does anyway.
+func cheapNames(p policy.Advice) int {
+	if p.PerWorker <= 0 {
+		return askMost
+	}
+	return min(max(int(p.Base/(2*p.PerWorker)), askLeast), askMost)
+}
--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -355,3 +355,31 @@
 	d.held(d.hosts[0], nil, nil)
 	is.Equal(d.plan(board.OrderHold)[0].Seen, uint64(1))
 }
+
+// TestVanishedWorkerOfEarlierOwner plays a take-over on a platform that allows
+// leases of 10 s, with a worker in the record that the platform lists no more:
+// what may have run there starts elsewhere within a lease of 6 s on the slowest
+// clock, less the silence after which an entry is dropped.
+func TestVanishedWorkerOfEarlierOwner(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(2, 2)
+	d.Board = board.New(dawn, 2, board.Limits{Lease: 10 * time.Second, Silence: 4500 * time.Millisecond, Remote: 1}, rules(core.Resources{}))
+	d.Recover(d.hosts, nil)
+	d.Load(d.now, []jobs.Spec{plain("j", 1, false)}, nil)
+	d.SetHosts(d.now, d.hosts[:1])
+	d.Known(d.Roster())
+	d.held(d.hosts[0], nil, nil)
+	bound := 2500 * time.Millisecond // also how long an entry must be missing
+	for d.now.Sub(dawn) <= bound+200*time.Millisecond {
+		starts := d.plan(board.OrderStart)
+		if len(starts) > 0 {
+			is.True(d.now.Sub(dawn) >= 6*time.Second*100/98-4500*time.Millisecond)
+			is.True(starts[0].Until <= d.now.Sub(dawn)+6*time.Second)
+			return
+		}
+		d.pass(100 * time.Millisecond)
+		d.SetHosts(d.now, d.hosts[:1])
+		d.held(d.hosts[0], nil, nil)
+	}
+	t.Fatal("the task was not started")
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -25,8 +25,6 @@
 	// shortCall is the length up to which the VM that has taken a job asks for
 	// advice itself, while the job is being recorded.
 	shortCall = 50 * time.Millisecond
-	// askMost bounds the workers of one call for advice; the platform takes 100.
-	askMost = 100
 	// againSoon is when a client that was refused should come back.
 	againSoon = time.Second
 	// cancelRetry is the pause before a cancellation is recorded again.
@@ -38,6 +36,8 @@
 	Accept(ctx context.Context, spec jobs.Spec) error
 	Cancel(ctx context.Context, id core.JobID, now time.Time) error
 	State(ctx context.Context, id core.JobID) (jobs.State, error)
+	// Away reports whether the store cannot be reached.
+	Away() bool
 }
 
 // Link reaches the owner.
@@ -47,6 +47,8 @@
 	Cancelled(id core.JobID)
 	State(ctx context.Context, id core.JobID) (state jobs.State, known bool, err error)
 	Pending(ctx context.Context, q core.Queue) (n int, known bool, err error)
+	// Joined reports whether another VM can be reached.
+	Joined() bool
 }
 
 // Adviser asks the placement policy.
@@ -73,12 +75,25 @@
 	hosts  atomic.Pointer[[]board.Host]
 	// rooms holds the most of each resource that any worker of a service has had
 	// since the process began: workers that are away may come back.
-	rooms   atomic.Pointer[map[core.Service]core.Resources]
+	rooms atomic.Pointer[map[core.Service]core.Resources]
+	// roomy is the owner's last hint of the workers that have room.
+	roomy   atomic.Pointer[hint]
 	leaving atomic.Bool
 	// busy counts the calls being answered.
 	busy atomic.Int64
 }
 
+// hint names workers that had room at a time.
+type hint struct {
+	workers core.Set[core.WorkerID]
+	at      time.Time
+}
+
+// SetRoomy follows the owner's hint of the workers that have room.
+func (e *Entry) SetRoomy(ids []core.WorkerID) {
+	e.roomy.Store(&hint{core.NewSet(ids...), time.Now()})
+}
+
 // New returns an entry without a configuration; it refuses all calls.
 func New(v Vault, l Link, a Adviser, m Meter, log *logrus.Entry) *Entry {
 	return &Entry{vault: v, link: l, adviser: a, meter: m, log: log}
@@ -121,8 +136,13 @@
 // Busy returns how many calls are being answered.
 func (e *Entry) Busy() int64 { return e.busy.Load() }
 
-// Ready reports whether clients should be sent here.
-func (e *Entry) Ready() bool { return !e.leaving.Load() && e.policy.Load() != nil }
+// Ready reports whether clients should be sent here: not while this VM is cut off
+// from the store and from the other VMs. An outage of the store alone is the
+// same for all.
+func (e *Entry) Ready() bool {
+	cutOff := e.vault.Away() && !e.link.Joined()
+	return !e.leaving.Load() && e.policy.Load() != nil && !cutOff
+}
 
 // MaxBody bounds a submission, in bytes; 0 means no configured bound.
 func (e *Entry) MaxBody() int64 {
@@ -221,8 +241,8 @@
 }
 
 // askEarly asks for advice on the first phase while the job is being recorded,
-// if the call is short and nothing waits before it. The channel yields one
-// result.
+// if the call is short, nothing waits before it and some worker has room. The
+// channel yields one result.
 func (e *Entry) askEarly(spec *jobs.Spec) <-chan guide.Result {
 	p, hosts := e.policy.Load(), e.hosts.Load()
 	q := p.Queues[spec.Queue]
@@ -233,12 +253,15 @@
 	if !ok || e.adviser.Waiting() > 0 {
 		return nil
 	}
-	ask := board.Ask{Phase: jobs.PhaseID{Job: spec.ID}}
+	room := e.roomy.Load()
+	hinted := room != nil && time.Since(room.at) < board.RoomyFresh
+	var candidates []core.WorkerID
 	for _, h := range *hosts {
-		if h.Service == q.Service && !h.Leaving && len(ask.Workers) < askMost {
-			ask.Workers = append(ask.Workers, core.WorkerID(h.Name))
+		if h.Service == q.Service && !h.Leaving && (!hinted || room.workers.Has(h.Worker())) {
+			candidates = append(candidates, h.Worker())
 		}
 	}
+	ask := board.Ask{Phase: jobs.PhaseID{Job: spec.ID}, Workers: board.EarlyNames(spec, a, candidates)}
 	ask.Cost = a.Cost(len(ask.Workers))
 	if len(ask.Workers) == 0 || ask.Cost > shortCall {
 		return nil
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -27,6 +27,9 @@
 	linked bool
 	knows  map[core.JobID]jobs.State
 	err    error
+	asks   []board.Ask
+	// away is set while the store cannot be reached.
+	away bool
 }
 
 func (o *outside) Accept(_ context.Context, s jobs.Spec) error {
@@ -55,6 +58,10 @@
 
 func (o *outside) Advised(guide.Result) {}
 
+func (o *outside) Joined() bool { return o.linked }
+
+func (o *outside) Away() bool { return o.away }
+
 func (o *outside) Cancelled(id core.JobID) { o.told = append(o.told, id) }
 
 func (o *outside) State(_ context.Context, id core.JobID) (jobs.State, bool, error) {
@@ -69,7 +76,10 @@
 	return 3, o.linked, nil
 }
 
-func (o *outside) Ask(a board.Ask, then func(guide.Result)) { then(guide.Result{Ask: a}) }
+func (o *outside) Ask(a board.Ask, then func(guide.Result)) {
+	o.asks = append(o.asks, a)
+	then(guide.Result{Ask: a})
+}
 
 func (o *outside) Waiting() int { return 0 }
 
@@ -175,3 +185,17 @@
 	_, err = e.State(ctx, "c")
 	is.Equal(code(err), core.CodeStore) // unsure is not "none"
 }
+
+// TestReadyWhileCutOff tells the balancer to send clients elsewhere only if this
+// VM reaches neither the store nor another VM.
+func TestReadyWhileCutOff(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ away, linked, ready bool }{
+		{false, true, true}, {false, false, true}, {true, true, true}, {true, false, false},
+	} {
+		o := &outside{away: c.away, linked: c.linked}
+		e := newEntry(o)
+		e.SetPolicy(rules(1, "k"))
+		is.Equal(e.Ready(), c.ready)
+	}
+}
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -56,6 +56,8 @@
 	changed chan struct{}
 	out     chan *wire.Up
 
+	// onRoomy is told the owner's hints of where room is.
+	onRoomy func([]core.WorkerID)
 	asked   *waits[*wire.Reply]
 	carrier *carrier
 }
@@ -72,13 +74,24 @@
 // Error implements error.
 func (e *OverError) Error() string { return "the owner has ended: " + e.Reason }
 
+// Option changes a client under construction.
+type Option func(*Client)
+
+// WithRoomyHook has a function told which workers have room.
+func WithRoomyHook(f func([]core.WorkerID)) Option { return func(c *Client) { c.onRoomy = f } }
+
 // NewClient returns a client without a stream; Run opens one. Direct is the
 // table as this VM reaches it, for calls that it carries out for the owner.
-func NewClient(vm, zone string, a Adviser, w Watch, direct table.Doer, log *logrus.Entry) *Client {
-	return &Client{
+func NewClient(vm, zone string, a Adviser, w Watch, direct table.Doer, log *logrus.Entry, opts ...Option) *Client {
+	c := &Client{
 		vm: vm, zone: zone, adviser: a, watch: w, log: log, changed: make(chan struct{}),
 		asked: newWaits[*wire.Reply](), carrier: newCarrier(direct),
+		onRoomy: func([]core.WorkerID) {},
 	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Follow tells where the owner is; an invalid address means nowhere.
@@ -234,6 +247,12 @@
 			return err
 		}
 		c.adviser.Ask(a, c.Advised)
+	case *wire.Down_Roomy:
+		ids := make([]core.WorkerID, len(k.Roomy.Workers))
+		for i, w := range k.Roomy.Workers {
+			ids[i] = core.WorkerID(w)
+		}
+		c.onRoomy(ids)
 	case *wire.Down_Reply:
 		c.asked.deliver(k.Reply.Number, k.Reply)
 	case *wire.Down_Carried:
@@ -249,6 +268,13 @@
 	return c.carrier.carry(ctx, call, func(m *wire.Call) bool { return c.send(&wire.Up{Kind: &wire.Up_Call{Call: m}}) })
 }
 
+// Joined reports whether the stream to the owner is open.
+func (c *Client) Joined() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out != nil
+}
+
 // send reports whether the message was queued; without a stream it is not.
 func (c *Client) send(m *wire.Up) bool {
 	c.mu.Lock()
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -69,6 +69,13 @@
 	return p.carrier.carry(ctx, call, func(m *wire.Call) bool { return p.send(&wire.Down{Kind: &wire.Down_Call{Call: m}}) })
 }
 
+// Joined reports whether any VM has joined.
+func (s *Server) Joined() bool {
+	s.impl.mu.Lock()
+	defer s.impl.mu.Unlock()
+	return len(s.impl.peers) > 0
+}
+
 func (s *server) pick() *peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,6 +113,15 @@
 // Advise implements owner.Peer.
 func (p *peer) Advise(a board.Ask) { p.send(&wire.Down{Kind: &wire.Down_Advise{Advise: fromAsk(a)}}) }
 
+// Roomy implements owner.Peer.
+func (p *peer) Roomy(ids []core.WorkerID) {
+	m := &wire.Roomy{}
+	for _, id := range ids {
+		m.Workers = append(m.Workers, string(id))
+	}
+	p.send(&wire.Down{Kind: &wire.Down_Roomy{Roomy: m}})
+}
+
 // Resigned implements owner.Peer.
 func (p *peer) Resigned() { p.send(&wire.Down{Kind: &wire.Down_Resigned{Resigned: true}}) }
 
--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -7,6 +7,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/board"
 	"chicoryturn/core/jobs"
+	"chicoryturn/io/entry"
 	"chicoryturn/io/guide"
 	"chicoryturn/io/link"
 	"chicoryturn/io/owner"
@@ -53,6 +54,14 @@
 	d.link.Advised(r)
 }
 
+// Joined implements entry.Link.
+func (d *desk) Joined() bool {
+	if d.mine.Load() {
+		return d.rpc.Joined()
+	}
+	return d.link.Joined()
+}
+
 // Cancelled implements entry.Link.
 func (d *desk) Cancelled(id core.JobID) {
 	if d.mine.Load() {
@@ -84,6 +93,7 @@
 	vm    string
 	guide *guide.Guide
 	owner *owner.Owner
+	entry *entry.Entry
 }
 
 // Name implements owner.Peer.
@@ -94,5 +104,8 @@
 	l.guide.Ask(a, func(r guide.Result) { l.owner.Advised(l.vm, r) })
 }
 
+// Roomy implements owner.Peer.
+func (l *local) Roomy(ids []core.WorkerID) { l.entry.SetRoomy(ids) }
+
 // Resigned implements owner.Peer.
 func (*local) Resigned() {}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -134,14 +134,14 @@
 	n.guide = guide.New(p.Advice)
 	d := &desk{vm: s.VM}
 	store := relay.New(p.Store, d)
-	n.vault, n.lists = vault.New(store), p.Lists(store)
+	n.vault, n.lists = vault.New(store, vault.WithReach(store)), p.Lists(store)
 	n.entry = entry.New(n.vault, d, n.guide, gauge{}, n.part("entry"))
 	n.session = session(s.VM)
 	me := reign.Seat{Holder: n.session, VM: s.VM, Addr: s.Peers}
 	n.owner = owner.New(l, owner.Outside{Vault: n.vault, Workers: p.Workers, Hosts: n.lists, Meter: gauge{}}, me, patience(s), s.Limits, n.part("owner"),
 		owner.WithHostsHook(n.entry.SetHosts),
 		owner.WithSeatHook(func(seat reign.Seat, mine bool) { n.follow(d, seat, mine) }))
-	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, p.Store, n.part("link"))
+	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, p.Store, n.part("link"), link.WithRoomyHook(n.entry.SetRoomy))
 	n.rpc = link.NewServer(n.owner, n.session, p.Store, n.part("link"))
 	d.owner, d.link, d.rpc = n.owner, n.link, n.rpc
 	return n
@@ -203,7 +203,7 @@
 	g.Go(func() error { return n.link.Run(ctx) })
 	g.Go(func() error { return n.watchPolicy(ctx) })
 	g.Go(func() error { return n.watchSettings(ctx) })
-	n.owner.Join(&local{vm: n.settings.VM, guide: n.guide, owner: n.owner})
+	n.owner.Join(&local{vm: n.settings.VM, guide: n.guide, owner: n.owner, entry: n.entry})
 	n.part("node").WithFields(logrus.Fields{
 		"callers": n.settings.Callers.String(), "peers": n.settings.Peers.String(), "share": n.settings.Share, "memory": n.settings.Memory,
 	}).Info("started")
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -99,7 +99,7 @@
 
 	reading, writing, listing, asking bool
 	nextLook, nextHosts, nextNews     time.Time
-	nextWrite, nextPlan               time.Time
+	nextWrite, nextPlan, nextHint     time.Time
 	wroteAt                           time.Time
 	// nextTidy is when ended jobs are looked for; drops are those whose progress
 	// the next record deletes.
@@ -221,6 +221,7 @@
 	until := o.board.Plan(now)
 	o.dispatch(o.board.Orders())
 	o.advise(now)
+	o.hint(now)
 	o.meter.Plan(time.Since(began))
 	o.meter.Board(o.board.Counts())
 	o.logNotes()
--- a/io/owner/peers.go
+++ b/io/owner/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chicoryturn/core"
 	"chicoryturn/core/board"
 	"chicoryturn/core/jobs"
 	"chicoryturn/io/guide"
@@ -30,6 +31,9 @@
 	Name() string
 	// Advise has the VM make a call; the result comes back by Advised.
 	Advise(a board.Ask)
+	// Roomy tells which workers have room, for calls that the VM makes on its
+	// own for the jobs that it takes.
+	Roomy(ids []core.WorkerID)
 	// Resigned tells that the seat is free.
 	Resigned()
 }
@@ -178,6 +182,18 @@
 	})
 }
 
+// hint tells the VMs where room is.
+func (o *Owner) hint(now time.Time) {
+	if now.Before(o.nextHint) {
+		return
+	}
+	o.nextHint = now.Add(board.RoomyPause)
+	ids := o.board.Roomy(now)
+	for _, l := range o.peers.list {
+		l.peer.Roomy(ids)
+	}
+}
+
 // advise hands the board's calls for advice to the VMs.
 func (o *Owner) advise(now time.Time) {
 	o.peers.expire(now)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -17,6 +17,9 @@
 	detour = time.Second
 	// quick bounds the direct call that is tried while others take the detour.
 	quick = 300 * time.Millisecond
+	// awayAfter is for how long the table must not have been heard of before calls
+	// to it are taken to be useless: twice the time of an answer when it is slow.
+	awayAfter = time.Second
 )
 
 // Carrier has another VM carry out a call. The error is a RelayError if none
@@ -36,6 +39,9 @@
 	// until is how long calls take the detour; it is zero while direct calls
 	// are answered.
 	until time.Time
+	// answered is when the table was last heard of on either way, failing the
+	// start of the first call since then that had no answer.
+	answered, failing time.Time
 	// Relayed counts the calls carried out by other VMs.
 	relayed uint64
 }
@@ -62,6 +68,25 @@
 	return s.relayed
 }
 
+// Away reports whether the table cannot be reached on either way.
+func (s *Store) Away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.failing.IsZero() && s.clock().Sub(s.failing) > awayAfter
+}
+
+// heard takes in whether a call that began at a time had an answer of the table.
+func (s *Store) heard(began time.Time, o table.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case o.Answered():
+		s.answered, s.failing = s.clock(), time.Time{}
+	case s.failing.IsZero() && began.After(s.answered):
+		s.failing = began
+	}
+}
+
 // route says whether the next call goes directly, and whether it is the one
 // that tries whether direct calls are answered again.
 func (s *Store) route() (direct, trial bool) {
@@ -97,8 +122,16 @@
 	return errors.As(err, &refused) || errors.As(err, &down)
 }
 
-// do carries out a call on one of the two ways.
+// do carries out a call and learns whether the table can be reached.
 func (s *Store) do(ctx context.Context, c table.Call) table.Outcome {
+	began := s.clock()
+	o := s.send(ctx, c)
+	s.heard(began, o)
+	return o
+}
+
+// send carries out a call on one of the two ways.
+func (s *Store) send(ctx context.Context, c table.Call) table.Outcome {
 	direct, trial := s.route()
 	if !direct {
 		if o, err := s.carry(ctx, c); err == nil {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -131,3 +131,33 @@
 		is.NoErr(err)
 	})
 }
+
+// TestAway tells a table that cannot be reached from one that refuses, and
+// notices at once when it answers again.
+func TestAway(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	direct, far := &fake{}, &fake{}
+	s := relay.New(direct, &other{table: far}, relay.WithClock(func() time.Time { return now }))
+	read := func() {
+		_, _ = s.Read(context.Background(), table.Range{Table: "t"})
+		now = now.Add(400 * time.Millisecond)
+	}
+	read()
+	is.True(!s.Away())
+	direct.err, far.err = &table.RefusedError{Status: 503}, &table.RefusedError{Status: 503}
+	for range 10 {
+		read()
+		is.True(!s.Away()) // it refuses, so it is there
+	}
+	direct.err, far.err = &table.DownError{Err: context.DeadlineExceeded}, &table.DownError{Err: context.DeadlineExceeded}
+	read()
+	is.True(!s.Away()) // one lost answer shows nothing
+	for range 4 {
+		read()
+	}
+	is.True(s.Away())
+	far.err = nil
+	read()
+	is.True(!s.Away())
+}
--- a/io/table/call.go
+++ b/io/table/call.go
@@ -79,6 +79,9 @@
 	return o
 }
 
+// Answered reports whether the table itself has dealt with or refused the call.
+func (o Outcome) Answered() bool { return o.Down == "" && o.Refused != unreached }
+
 // Err returns the error of a call that has failed.
 func (o Outcome) Err() error {
 	switch {
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -62,6 +62,9 @@
 	if len(put.Val) > rowMost {
 		return core.Refuse(core.CodeTooLarge, "the job takes %d bytes in the store, at most %d", len(put.Val), rowMost)
 	}
+	if err := v.away(); err != nil {
+		return err
+	}
 	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan error, 1)}
 	select {
 	case v.writes[partOf(spec.ID)] <- a:
@@ -90,7 +93,7 @@
 		if len(left) == len(waiting) && len(left) > 0 {
 			clock.Wait(ctx, againPause)
 		}
-		waiting = expire(left, ctx.Err() != nil)
+		waiting = expire(left, ctx.Err() != nil, v.Away())
 	}
 }
 
@@ -162,11 +165,11 @@
 }
 
 // expire answers those whose callers have no time left, or whom the store has
-// only refused.
-func expire(waiting []*acceptance, all bool) []*acceptance {
+// only refused, and all while it is away: their callers can ask another VM.
+func expire(waiting []*acceptance, all, away bool) []*acceptance {
 	var out []*acceptance
 	for _, a := range waiting {
-		over := all || a.ctx.Err() != nil || !a.unsure && time.Since(a.began) > refusedMost
+		over := all || away || a.ctx.Err() != nil || !a.unsure && time.Since(a.began) > refusedMost
 		if !over {
 			out = append(out, a)
 			continue
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -44,28 +44,61 @@
 	// after another, in 8 ms each, and in some 50 times as long when the store is
 	// slow: 64 then carry 150 jobs a second.
 	parts = 64
+	// awayAgain is when a client that was refused should come back: clients come
+	// back through any VM, and most cuts spare some.
+	awayAgain = time.Second
 	// readers bounds the partitions read side by side.
 	readers = 8
 )
 
+// Reach tells whether the table can be reached.
+type Reach interface {
+	Away() bool
+}
+
 // Vault reads and writes the product's rows.
 type Vault struct {
 	store table.Doer
+	reach Reach
 	// writePace and readPace learn how long the store's answers take.
 	writePace, readPace pace
 
 	writes [parts]chan *acceptance
 }
 
+// Option changes a vault under construction.
+type Option func(*Vault)
+
+// WithReach has calls of clients refused at once while the store cannot be
+// reached.
+func WithReach(r Reach) Option { return func(v *Vault) { v.reach = r } }
+
 // New returns a vault over a store. Run must be called for jobs to be accepted.
-func New(s table.Doer) *Vault {
+func New(s table.Doer, opts ...Option) *Vault {
 	v := &Vault{store: s}
+	for _, o := range opts {
+		o(v)
+	}
 	for i := range v.writes {
 		v.writes[i] = make(chan *acceptance, acceptQueue)
 	}
 	return v
 }
 
+// Away reports whether the store cannot be reached.
+func (v *Vault) Away() bool { return v.reach != nil && v.reach.Away() }
+
+// away returns the refusal of a call that would only wait for a store that
+// cannot be reached; clients come back through other VMs.
+func (v *Vault) away() error {
+	if !v.Away() {
+		return nil
+	}
+	r := core.Refuse(core.CodeStore, "this VM does not reach the store")
+	r.RetryAfter = awayAgain
+	return r
+}
+
 // Refused reports whether a call surely had no effect.
 func Refused(err error) bool {
 	var r *table.RefusedError
@@ -337,6 +370,9 @@
 
 // State reads how a job is to be shown, from the record alone.
 func (v *Vault) State(ctx context.Context, id core.JobID) (jobs.State, error) {
+	if err := v.away(); err != nil {
+		return "", err
+	}
 	row, err := v.get(ctx, jobKey(id))
 	if err != nil {
 		return "", err
--- a/io/vault/vault_test.go
+++ b/io/vault/vault_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -329,3 +330,42 @@
 	is.Equal(len(rec.Specs), 1)
 	is.Equal(len(rec.Unread), 1)
 }
+
+// cut stands for a way to the store that may be cut off.
+type cut struct{ away atomic.Bool }
+
+func (c *cut) Away() bool { return c.away.Load() }
+
+// TestCutOff submits jobs on a VM that does not reach the store: those that may
+// have been recorded, and those that surely have not, are answered at once.
+func TestCutOff(t *testing.T) {
+	is := is.New(t)
+	m, c := newMemory(), &cut{}
+	v := vault.New(m, vault.WithReach(c))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = v.Run(ctx) }()
+	m.set(false, true, true)
+	unsure := make(chan error, 1)
+	go func() { unsure <- v.Accept(ctx, jobs.Spec{ID: "a", Team: "t", Queue: "q"}) }()
+	for m.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.away.Store(true)
+	var r *core.RefusalError
+	is.True(errors.As(<-unsure, &r))
+	is.Equal(r.Run, core.RunUnknown) // the client asks again under the same name
+	writes := m.count()
+	is.True(errors.As(v.Accept(ctx, jobs.Spec{ID: "b", Team: "t", Queue: "q"}), &r))
+	is.Equal(r.Run, core.RunNo)
+	is.Equal(m.count(), writes) // nothing was sent
+	_, err := v.State(ctx, "a")
+	is.True(errors.As(err, &r))
+	is.Equal(r.Code, core.CodeStore)
+}
+
+func (m *memory) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
