Calls to the store keep to a VM that gets answers; gangs whose tickets age before their call ends

Calls of other cut-off VMs ended at the owner, which used its own way alone. After the feed had been cut, up to four readings of the whole record ran at once, 3.5 s each.

Change: tickets count only if they outlast the next call; where one call cannot find enough workers, calls learn who else is allowed. TestStaggeredTickets, TestGangOfManyCalls, TestCarry, TestServeOwn and TestTrimmedFeed fail before.

--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -93,6 +94,11 @@
 		return
 	}
 	a := &u.advice
+	n := Note{Job: id.Job, What: "advised", Task: id.String(), Because: fmt.Sprintf("%d of %d workers allowed for %s", len(allowed), len(named), valid.Round(time.Millisecond))}
+	if !a.asked.IsZero() {
+		n.Wait = now.Sub(a.asked)
+	}
+	b.note(n)
 	a.asked, a.lost = time.Time{}, time.Time{}
 	a.known = true
 	if a.allowed == nil {
@@ -214,7 +220,7 @@
 			return
 		}
 		if p, ok := u.policy().Get(); ok {
-			if names := u.chances().unnamed(askMost); len(names) > 0 {
+			if names := u.chances(p).unnamed(askMost); len(names) > 0 {
 				b.handOut(turns, u, p, names)
 			}
 		}
@@ -237,7 +243,7 @@
 
 // chances are the workers that a call for a phase may name.
 type chances struct {
-	// ready is how many tasks fit where tickets are good.
+	// ready is how many tasks fit where tickets outlast a call.
 	ready int
 	// stale are allowed workers with room whose tickets have aged, fresh those
 	// that no call has named, with room or without.
@@ -247,10 +253,11 @@
 // chances looks through the fleet for workers that a call may name. The tasks
 // of a gang go to as few workers as possible, as each one named takes time;
 // other work leaves large gaps alone.
-func (u *unit) chances() chances {
+func (u *unit) chances(p policy.Advice) chances {
 	b := u.job.board
 	need := u.need()
-	renewBefore := b.now.Add(ticketSlack)
+	// Tickets that age before a call is answered are worth nothing with its own.
+	renewBefore := b.now.Add(ticketSlack + p.Cost(min(u.idle, askMost)))
 	var out chances
 	for _, w := range b.byName {
 		if !u.suits(w) {
@@ -294,34 +301,48 @@
 }
 
 // worthAsking returns the workers whose tickets would let enough tasks start:
-// those known to be allowed, then as many others as are likely to be.
+// those known to be allowed, then as many others as are likely to be. Where one
+// call cannot find enough, it names others alone, to learn who else may run them.
 func (u *unit) worthAsking(p policy.Advice) []core.WorkerID {
 	b := u.job.board
-	c := u.chances()
+	c := u.chances(p)
 	if c.ready >= u.idle || !b.withinLimit(u, u.need(), u.least()) {
 		return nil
 	}
-	var out []core.WorkerID
-	got := float64(c.ready)
+	share := b.allowedShare(u.job.Spec.Queue)
+	known := float64(c.ready)
+	var again []core.WorkerID
 	for _, s := range c.stale {
-		if got >= float64(u.idle+spareWorkers) || len(out) == askMost {
+		if known >= float64(u.idle+spareWorkers) || len(again) == askMost {
 			break
 		}
-		out = append(out, s.worker)
-		got += float64(s.slots)
+		again = append(again, s.worker)
+		known += float64(s.slots)
+	}
+	if known >= float64(u.idle) {
+		return again
 	}
-	share, wanted := b.allowedShare(u.job.Spec.Queue), askMargin*float64(u.idle)
+	var others []core.WorkerID
+	hoped, got := 0.0, known
 	for _, f := range c.fresh {
-		if f.slots == 0 || len(out) == askMost || got >= wanted && len(out) >= cheapNames(p) {
+		if f.slots == 0 {
 			break
 		}
-		out = append(out, f.worker)
-		got += share * float64(min(f.slots, u.idle))
+		hope := share * float64(min(f.slots, u.idle))
+		hoped += hope
+		enough := got >= askMargin*float64(u.idle) && len(again)+len(others) >= cheapNames(p)
+		if len(again)+len(others) < askMost && !enough {
+			others = append(others, f.worker)
+			got += hope
+		}
 	}
-	if got < float64(u.worthLeast()) {
+	switch least := float64(u.worthLeast()); {
+	case known+hoped < least:
 		return nil
+	case got < least:
+		return c.unnamed(askMost)
 	}
-	return out
+	return append(again, others...)
 }
 
 // worthLeast is for how many tasks a call must find room: it takes about the
--- a/core/board/advice_test.go
+++ b/core/board/advice_test.go
@@ -10,6 +10,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
 )
 
@@ -92,3 +93,86 @@
 	d.Advised(d.now, first.Phase, ts.asks[1].Workers, allowed, time.Second)
 	is.Equal(len(d.plan(board.OrderStart)), 40)
 }
+
+// row is a fleet of free workers whose queue has a placement policy.
+func row(workers int, a policy.Advice) *desk {
+	p := policy.New(1, []policy.Queue{{
+		Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 4, Latency: time.Second, Advice: core.Some(a),
+	}}, []policy.Team{{Name: "t", Weight: 1000}}, []policy.Service{{Name: "s"}}, 0)
+	d := &desk{now: dawn, Board: board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)}
+	for i := range workers {
+		h := host(i)
+		h.Name, h.Born = fmt.Sprintf("w%03d", i), dawn.Add(-time.Hour)
+		h.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80)
+		d.hosts = append(d.hosts, h)
+	}
+	d.open()
+	return d
+}
+
+// started answers calls for advice, each after its length, until a number of
+// tasks start together; it gives up after 10 s.
+func (d *desk) started(tasks int, valid time.Duration, may func(core.WorkerID) bool) bool {
+	ts := &turns{}
+	var answer time.Time
+	for begin := d.now; d.now.Sub(begin) < 10*time.Second; d.pass(20 * time.Millisecond) {
+		for _, h := range d.hosts {
+			d.held(h, nil, nil)
+		}
+		if ts.busy && !d.now.Before(answer) {
+			ask := ts.asks[len(ts.asks)-1]
+			var allowed []board.Allowed
+			for _, w := range ask.Workers {
+				if may(w) {
+					allowed = append(allowed, board.Allowed{Worker: w, Ticket: "t"})
+				}
+			}
+			d.Advised(d.now, ask.Phase, ask.Workers, allowed, valid)
+			ts.busy = false
+		}
+		if len(d.plan(board.OrderStart)) == tasks {
+			return true
+		}
+		if !ts.busy {
+			d.Ask(d.now, ts)
+			if ts.busy {
+				answer = d.now.Add(ts.asks[len(ts.asks)-1].Cost)
+			}
+		}
+	}
+	return false
+}
+
+// TestGangOfManyCalls plays a gang for which no single call finds enough
+// workers, on a fleet with room for it.
+func TestGangOfManyCalls(t *testing.T) {
+	is := is.New(t)
+	d := row(300, policy.Advice{Base: 400 * time.Millisecond, PerWorker: 4 * time.Millisecond, Valid: 800 * time.Millisecond})
+	g := plain("g", 55, true)
+	g.Phases[0].PerWorker = 1
+	d.Accept(d.now, g)
+	is.True(d.started(55, 800*time.Millisecond, func(w core.WorkerID) bool { return w[len(w)-1]%4 == 0 }))
+}
+
+// TestStaggeredTickets plays a gang whose tickets are of different age: those
+// that would be too old when a call is answered are asked for again with it, so
+// that at last all are good at once.
+func TestStaggeredTickets(t *testing.T) {
+	is := is.New(t)
+	d := row(60, policy.Advice{Base: 400 * time.Millisecond, PerWorker: 8 * time.Millisecond, Valid: 1500 * time.Millisecond})
+	g := plain("g", 40, true)
+	g.Phases[0].PerWorker = 1
+	d.Accept(d.now, g)
+	phase := jobs.PhaseID{Job: "g"}
+	for _, part := range []struct{ from, to int }{{39, 60}, {0, 0}, {0, 0}, {0, 15}, {15, 30}, {30, 39}} {
+		d.pass(500 * time.Millisecond)
+		var named []core.WorkerID
+		var allowed []board.Allowed
+		for _, h := range d.hosts[part.from:part.to] {
+			named = append(named, h.Worker())
+			allowed = append(allowed, board.Allowed{Worker: h.Worker(), Ticket: "t"})
+		}
+		d.Advised(d.now, phase, named, allowed, 1500*time.Millisecond)
+	}
+	is.True(d.started(40, 1500*time.Millisecond, func(core.WorkerID) bool { return true }))
+}
--- a/io/link/carry.go
+++ b/io/link/carry.go
@@ -58,15 +58,18 @@
 	}
 }
 
+// Serve carries out a call of the table for another VM.
+type Serve func(ctx context.Context, c table.Call) table.Outcome
+
 // carrier has the other side of a stream carry out calls of the table, and
 // carries out its calls.
 type carrier struct {
-	store table.Doer
+	own   Serve
 	waits *waits[table.Outcome]
 }
 
-func newCarrier(store table.Doer) *carrier {
-	return &carrier{store: store, waits: newWaits[table.Outcome]()}
+func newCarrier(own Serve) *carrier {
+	return &carrier{own: own, waits: newWaits[table.Outcome]()}
 }
 
 // carry sends a call and waits for its outcome. Once sent, a call without an
@@ -113,7 +116,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, carryTime)
 		defer cancel()
-		body, err := json.Marshal(table.Do(ctx, c.store, call))
+		body, err := json.Marshal(c.own(ctx, call))
 		if err != nil {
 			// No outcome reads as one that is not known.
 			return
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -80,12 +80,12 @@
 // WithRoomyHook has a function told which workers have room.
 func WithRoomyHook(f func([]core.WorkerID)) Option { return func(c *Client) { c.onRoomy = f } }
 
-// NewClient returns a client without a stream; Run opens one. Direct is the
-// table as this VM reaches it, for calls that it carries out for the owner.
-func NewClient(vm, zone string, a Adviser, w Watch, direct table.Doer, log *logrus.Entry, opts ...Option) *Client {
+// NewClient returns a client without a stream; Run opens one. Own carries out
+// calls of the table for the owner.
+func NewClient(vm, zone string, a Adviser, w Watch, own Serve, log *logrus.Entry, opts ...Option) *Client {
 	c := &Client{
 		vm: vm, zone: zone, adviser: a, watch: w, log: log, changed: make(chan struct{}),
-		asked: newWaits[*wire.Reply](), carrier: newCarrier(direct),
+		asked: newWaits[*wire.Reply](), carrier: newCarrier(own),
 		onRoomy: func([]core.WorkerID) {},
 	}
 	for _, o := range opts {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -27,6 +27,10 @@
 	sendQueue = 512
 	// replyTime bounds the wait for the owner's reply to a question.
 	replyTime = 600 * time.Millisecond
+	// carryTries bounds the VMs that are asked in turn to carry one call, and
+	// shunTime is how long one that the table turns away is not asked again.
+	carryTries = 4
+	shunTime   = time.Second
 	// maxMessage bounds one message, in bytes.
 	maxMessage = 1 << 20
 	// window bounds what is in flight on a stream, and so its memory.
--- /dev/null
+++ b/io/link/link_test.go
@@ -0,0 +1,83 @@
+package link_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
+	"chicoryturn/io/guide"
+	"chicoryturn/io/link"
+	"chicoryturn/io/owner"
+	"chicoryturn/io/table"
+)
+
+// seat is the control state of a process that owns the fleet, as far as links
+// need it.
+type seat struct{ joined atomic.Int64 }
+
+func (s *seat) Join(owner.Peer)                        { s.joined.Add(1) }
+func (s *seat) Part(owner.Peer)                        { s.joined.Add(-1) }
+func (*seat) Accepted(jobs.Spec, string)               {}
+func (*seat) Cancelled(core.JobID)                     {}
+func (*seat) Advised(string, guide.Result)             {}
+func (*seat) SeatLost(core.SessionID, bool)            {}
+func (*seat) SeatFound()                               {}
+func (*seat) Ask(a board.Ask, then func(guide.Result)) { then(guide.Result{Ask: a}) }
+func (*seat) State(context.Context, core.JobID) (state jobs.State, known, mine bool, err error) {
+	return "", false, true, nil
+}
+func (*seat) Pending(context.Context, core.Queue) (int, bool, error) { return 0, true, nil }
+
+// way is how a VM reaches the table.
+type way struct {
+	out   table.Outcome
+	calls atomic.Int64
+}
+
+func (w *way) serve(context.Context, table.Call) table.Outcome {
+	w.calls.Add(1)
+	return w.out
+}
+
+// TestCarry has the owner's calls carried by VMs of which the table turns most
+// away: one that does not is found, and kept to.
+func TestCarry(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &seat{}
+	srv := link.NewServer(s, "owner/1", (&way{}).serve, log.WithField("part", "link"))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Stop()
+	ways := []*way{{out: table.Outcome{Refused: 503}}, {out: table.Unreached()}, {out: table.Outcome{Done: &table.Done{Version: 7}}}}
+	for i, w := range ways {
+		c := link.NewClient(string(rune('a'+i)), "zone", s, s, w.serve, log.WithField("part", "link"))
+		c.Follow(link.Target{Addr: netip.MustParseAddrPort(l.Addr().String()), Session: "owner/1"})
+		go func() { _ = c.Run(ctx) }()
+	}
+	for s.joined.Load() < int64(len(ways)) {
+		time.Sleep(time.Millisecond)
+	}
+	for range 5 {
+		o, err := srv.Carry(ctx, table.Call{Write: &table.Txn{}})
+		is.NoErr(err)
+		is.Equal(o.Done.Version, uint64(7))
+	}
+	is.True(ways[0].calls.Load() <= 1)
+	is.True(ways[1].calls.Load() <= 1)
+	is.Equal(ways[2].calls.Load(), int64(5))
+}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -33,13 +34,15 @@
 	wire.UnimplementedLinkServer
 	owner   Owner
 	session core.SessionID
-	direct  table.Doer
+	serve   Serve
 	log     *logrus.Entry
 
 	// mu guards the VMs that have joined.
 	mu    sync.Mutex
 	peers []*peer
 	next  int
+	// good is the peer that has last had an answer of the table.
+	good *peer
 }
 
 // Server takes the streams of other VMs.
@@ -49,24 +52,37 @@
 }
 
 // NewServer returns a grpc server that takes the streams of other VMs. Session
-// names this incarnation, direct is the table as this VM reaches it.
-func NewServer(o Owner, session core.SessionID, direct table.Doer, log *logrus.Entry) *Server {
+// names this incarnation, serve carries out calls of the table for them.
+func NewServer(o Owner, session core.SessionID, serve Serve, log *logrus.Entry) *Server {
 	s := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(enforce), grpc.KeepaliveParams(serverAlive),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
 		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))
-	impl := &server{owner: o, session: session, direct: direct, log: log}
+	impl := &server{owner: o, session: session, serve: serve, log: log}
 	wire.RegisterLinkServer(s, impl)
 	return &Server{s, impl}
 }
 
-// Carry implements relay.Carrier: one VM that has joined after the other
-// carries out a call.
+// Carry implements relay.Carrier: a VM that has joined carries out a call. One
+// that the table turns away as well is passed over for a while.
 func (s *Server) Carry(ctx context.Context, call table.Call) (table.Outcome, error) {
-	p := s.impl.pick()
-	if p == nil {
-		return table.Outcome{}, &table.RelayError{Reason: "no VM has joined"}
+	for try := 0; ; try++ {
+		p := s.impl.pick(time.Now())
+		if p == nil {
+			return table.Outcome{}, &table.RelayError{Reason: "no VM that has joined reaches the table"}
+		}
+		o, err := p.carrier.carry(ctx, call, func(m *wire.Call) bool { return p.send(&wire.Down{Kind: &wire.Down_Call{Call: m}}) })
+		if err != nil {
+			return o, err
+		}
+		answered := o.Answered() && o.Refused == 0
+		s.impl.rate(p, answered, time.Now())
+		// A call without an outcome may have been carried out: only reads are
+		// made again.
+		again := o.Refused != 0 || o.Down != "" && call.Write == nil
+		if answered || !again || try+1 == carryTries || ctx.Err() != nil {
+			return o, nil
+		}
 	}
-	return p.carrier.carry(ctx, call, func(m *wire.Call) bool { return p.send(&wire.Down{Kind: &wire.Down_Call{Call: m}}) })
 }
 
 // Joined reports whether any VM has joined.
@@ -76,14 +92,36 @@
 	return len(s.impl.peers) > 0
 }
 
-func (s *server) pick() *peer {
+// pick returns the VM that should carry a call: the one that did so last, or one
+// after the other of those not known to be turned away.
+func (s *server) pick(now time.Time) *peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.peers) == 0 {
-		return nil
+	if s.good != nil {
+		return s.good
+	}
+	for range s.peers {
+		s.next++
+		if p := s.peers[s.next%len(s.peers)]; now.After(p.shunned) {
+			return p
+		}
+	}
+	return nil
+}
+
+// rate takes in whether the table has answered a call through a VM.
+func (s *server) rate(p *peer, answered bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case answered:
+		s.good = p
+	default:
+		p.shunned = now.Add(shunTime)
+		if s.good == p {
+			s.good = nil
+		}
 	}
-	s.next++
-	return s.peers[s.next%len(s.peers)]
 }
 
 func (s *server) enter(p *peer) {
@@ -96,6 +134,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peers = slices.DeleteFunc(s.peers, func(o *peer) bool { return o == p })
+	if s.good == p {
+		s.good = nil
+	}
 }
 
 // peer is a VM that has joined.
@@ -105,6 +146,8 @@
 	// cancel ends the stream.
 	cancel  context.CancelFunc
 	carrier *carrier
+	// shunned is until when the VM is not asked to carry calls.
+	shunned time.Time
 }
 
 // Name implements owner.Peer.
@@ -148,7 +191,7 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	p := &peer{name: first.GetHello().GetVm(), out: make(chan *wire.Down, sendQueue), cancel: cancel, carrier: newCarrier(s.direct)}
+	p := &peer{name: first.GetHello().GetVm(), out: make(chan *wire.Down, sendQueue), cancel: cancel, carrier: newCarrier(s.serve)}
 	if err := stream.Send(&wire.Down{Kind: &wire.Down_Session{Session: string(s.session)}}); err != nil {
 		return err
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -141,8 +141,8 @@
 	n.owner = owner.New(l, owner.Outside{Vault: n.vault, Workers: p.Workers, Hosts: n.lists, Meter: gauge{}}, me, patience(s), s.Limits, n.part("owner"),
 		owner.WithHostsHook(n.entry.SetHosts),
 		owner.WithSeatHook(func(seat reign.Seat, mine bool) { n.follow(d, seat, mine) }))
-	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, p.Store, n.part("link"), link.WithRoomyHook(n.entry.SetRoomy))
-	n.rpc = link.NewServer(n.owner, n.session, p.Store, n.part("link"))
+	n.link = link.NewClient(s.VM, string(s.Zone), n.guide, n.owner, store.ServeOwn, n.part("link"), link.WithRoomyHook(n.entry.SetRoomy))
+	n.rpc = link.NewServer(n.owner, n.session, store.Serve, n.part("link"))
 	d.owner, d.link, d.rpc = n.owner, n.link, n.rpc
 	return n
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -97,10 +97,10 @@
 	absence *board.Absence
 	hostsAt time.Time
 
-	reading, writing, listing, asking bool
-	nextLook, nextHosts, nextNews     time.Time
-	nextWrite, nextPlan, nextHint     time.Time
-	wroteAt                           time.Time
+	reading, writing, listing, asking, reloading bool
+	nextLook, nextHosts, nextNews                time.Time
+	nextWrite, nextPlan, nextHint                time.Time
+	wroteAt                                      time.Time
 	// nextTidy is when ended jobs are looked for; drops are those whose progress
 	// the next record deletes.
 	nextTidy  time.Time
@@ -305,7 +305,7 @@
 
 // news reads what VMs have recorded when it is time.
 func (o *Owner) news(now time.Time) {
-	if o.asking || now.Before(o.nextNews) {
+	if o.asking || o.reloading || now.Before(o.nextNews) {
 		return
 	}
 	o.asking = true
--- /dev/null
+++ b/io/owner/owner_test.go
@@ -0,0 +1,98 @@
+package owner_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"chicoryturn/core"
+	"chicoryturn/core/board"
+	"chicoryturn/core/policy"
+	"chicoryturn/core/reign"
+	"chicoryturn/io/loop"
+	"chicoryturn/io/owner"
+	"chicoryturn/io/table"
+	"chicoryturn/io/vault"
+)
+
+// outside stands for the store and the workers of an owner. The feed of changes
+// has been cut for good, and reading the record takes a while.
+type outside struct {
+	mu sync.Mutex
+	// loads counts the readings of the record, now those under way.
+	loads, now, most int
+	asked            int
+}
+
+func (*outside) Seat(context.Context) (reign.Look, error) { return reign.Look{}, nil }
+
+func (*outside) Write(context.Context, vault.Record) (table.Done, error) {
+	return table.Done{Version: 1}, nil
+}
+
+func (o *outside) Load(ctx context.Context) (*vault.Recorded, error) {
+	o.mu.Lock()
+	o.loads++
+	o.now++
+	o.most = max(o.most, o.now)
+	o.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(1300 * time.Millisecond):
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.now--
+	return &vault.Recorded{}, nil
+}
+
+func (o *outside) News(context.Context, uint64) (vault.Recorded, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.asked++
+	return vault.Recorded{}, &table.TrimmedError{Version: 1}
+}
+
+func (*outside) Delete(context.Context, []core.JobID) error { return nil }
+
+func (*outside) Start(context.Context, board.Order) (board.Reply, error) { return board.ReplyDone, nil }
+
+func (*outside) Stop(context.Context, board.Order) (board.Reply, error) { return board.ReplyDone, nil }
+
+func (*outside) Hold(context.Context, board.Order) (board.Lists, board.Reply, error) {
+	return board.Lists{}, board.ReplyDone, nil
+}
+
+func (*outside) Hosts(context.Context) ([]board.Host, []error, error) { return nil, nil, nil }
+
+func (*outside) Board(board.Counts)                 {}
+func (*outside) Call(string, string, time.Duration) {}
+func (*outside) Record(int, time.Duration)          {}
+func (*outside) Plan(time.Duration)                 {}
+func (*outside) Own(bool)                           {}
+
+// TestTrimmedFeed has the feed of changes cut while the owner reads the whole
+// record: one reading runs at a time, and the feed is not asked meanwhile.
+func TestTrimmedFeed(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	out := &outside{}
+	o := owner.New(loop.New(ctx), owner.Outside{Vault: out, Workers: out, Hosts: out, Meter: out}, reign.Seat{Holder: "a/1", VM: "a"}, 0,
+		board.Limits{Lease: time.Second, Remote: 1}, log.WithField("part", "owner"))
+	go func() { _ = o.Run() }()
+	o.SetPolicy(policy.New(1, nil, nil, nil, 0))
+	time.Sleep(5 * time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	is.True(out.loads >= 2) // after the claim, and after the feed was cut
+	is.Equal(out.most, 1)
+	is.True(out.asked <= out.loads)
+}
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -211,8 +211,13 @@
 }
 
 // reload reads all that is recorded, after a claim or when the feed of changes
-// has been cut.
+// has been cut. One reading at a time is enough, and takes seconds on a full
+// record.
 func (o *Owner) reload() {
+	if o.reloading {
+		return
+	}
+	o.reloading = true
 	seat, _ := o.reign.Seat()
 	epoch := seat.Epoch
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
@@ -220,8 +225,12 @@
 		rec, err := o.vault.Load(ctx)
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
-			seat, _ := o.reign.Seat()
-			if !o.reign.Mine() || seat.Epoch != epoch {
+			o.reloading = false
+			if !o.reign.Mine() {
+				return
+			}
+			if seat, _ := o.reign.Seat(); seat.Epoch != epoch {
+				o.reload()
 				return
 			}
 			if err != nil {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -122,6 +122,22 @@
 	return errors.As(err, &refused) || errors.As(err, &down)
 }
 
+// Serve carries out a call of another VM on either way.
+func (s *Store) Serve(ctx context.Context, c table.Call) table.Outcome { return s.do(ctx, c) }
+
+// ServeOwn carries out a call of another VM on this VM's own way, or not at all
+// while that is not answered.
+func (s *Store) ServeOwn(ctx context.Context, c table.Call) table.Outcome {
+	direct, trial := s.route()
+	if !direct {
+		return table.Unreached()
+	}
+	began := s.clock()
+	o := s.try(ctx, c, trial)
+	s.heard(began, o)
+	return o
+}
+
 // do carries out a call and learns whether the table can be reached.
 func (s *Store) do(ctx context.Context, c table.Call) table.Outcome {
 	began := s.clock()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -161,3 +161,20 @@
 	read()
 	is.True(!s.Away())
 }
+
+// TestServeOwn has a VM that is turned away itself say so at once when another
+// asks it to carry a call.
+func TestServeOwn(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	direct, far := &fake{version: 3}, &fake{version: 4}
+	s := relay.New(direct, &other{table: far}, relay.WithClock(func() time.Time { return now }))
+	call := table.Call{Read: &table.Range{Table: "t"}}
+	is.Equal(s.ServeOwn(context.Background(), call).Page.Version, uint64(3))
+	direct.err = &table.RefusedError{Status: 503}
+	is.Equal(s.ServeOwn(context.Background(), call).Refused, 503)
+	calls := direct.calls
+	is.True(!s.ServeOwn(context.Background(), call).Answered())
+	is.Equal(direct.calls, calls)
+	is.Equal(s.Serve(context.Background(), call).Page.Version, uint64(4))
+}
--- a/io/table/call.go
+++ b/io/table/call.go
@@ -79,6 +79,9 @@
 	return o
 }
 
+// Unreached returns the outcome of a call that was surely not made.
+func Unreached() Outcome { return Outcome{Refused: unreached} }
+
 // Answered reports whether the table itself has dealt with or refused the call.
 func (o Outcome) Answered() bool { return o.Down == "" && o.Refused != unreached }
 
