Take over sooner: beats on links, near VMs claim first, one wide reading of the record

An owner that goes silent was noticed after 2.5 s, since the links' own keep-alive takes 10 s. TestSilentOwner, TestNearestClaims (fails before).

--- a/core/board/contact.go
+++ b/core/board/contact.go
@@ -18,6 +18,9 @@
 	holdPart = 4
 	// missedPause is the time before a worker that has not answered is asked again.
 	missedPause = 400 * time.Millisecond
+	// freshPause is that of one that has never answered this owner: until all have,
+	// what an earlier owner may have started there cannot start elsewhere.
+	freshPause = 50 * time.Millisecond
 	// stopPause is the time before a stop without answer is sent again.
 	stopPause = 500 * time.Millisecond
 	// blockedMost is how long an end waits for its job to be read. A job that is
@@ -271,6 +274,9 @@
 	}
 	w.holding = false
 	w.next = now.Add(missedPause)
+	if w.state == workerFresh && w.listed {
+		w.next = now.Add(freshPause)
+	}
 	w.fire(workerMiss)
 	b.changed = true
 }
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -179,10 +179,17 @@
 	}
 	out := make(chan *wire.Up, sendQueue)
 	done := make(chan error, 1)
-	go func() { done <- c.receive(stream, to.Session, out) }()
+	heard := make(chan struct{}, 1)
+	go func() { done <- c.receive(stream, to.Session, out, heard) }()
 	defer c.shut()
+	silence := time.NewTimer(silentAfter)
+	defer silence.Stop()
 	for {
 		select {
+		case <-heard:
+			silence.Reset(silentAfter)
+		case <-silence.C:
+			return &ClosedError{"nothing has come from the owner for " + silentAfter.String()}
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
@@ -214,7 +221,7 @@
 	c.carrier.waits.close()
 }
 
-func (c *Client) receive(stream grpc.BidiStreamingClient[wire.Up, wire.Down], session core.SessionID, out chan *wire.Up) error {
+func (c *Client) receive(stream grpc.BidiStreamingClient[wire.Up, wire.Down], session core.SessionID, out chan *wire.Up, heard chan<- struct{}) error {
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -230,6 +237,10 @@
 		if err != nil {
 			return err
 		}
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
 		if _, ok := m.Kind.(*wire.Down_Resigned); ok {
 			return &ClosedError{"the owner has resigned"}
 		}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -31,6 +31,11 @@
 	// shunTime is how long one that the table turns away is not asked again.
 	carryTries = 4
 	shunTime   = time.Second
+	// beatPause is the time between two messages of the owner at the most, and
+	// silentAfter how long none comes before it counts as silent: a lost packet
+	// takes a few hundred milliseconds.
+	beatPause   = 300 * time.Millisecond
+	silentAfter = 1200 * time.Millisecond
 	// maxMessage bounds one message, in bytes.
 	maxMessage = 1 << 20
 	// window bounds what is in flight on a stream, and so its memory.
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -18,20 +18,21 @@
 	"chicoryturn/io/guide"
 	"chicoryturn/io/link"
 	"chicoryturn/io/owner"
+	"chicoryturn/io/stand"
 	"chicoryturn/io/table"
 )
 
 // seat is the control state of a process that owns the fleet, as far as links
 // need it.
-type seat struct{ joined atomic.Int64 }
+type seat struct{ joined, found, lost atomic.Int64 }
 
 func (s *seat) Join(owner.Peer)                        { s.joined.Add(1) }
 func (s *seat) Part(owner.Peer)                        { s.joined.Add(-1) }
 func (*seat) Accepted(jobs.Spec, string)               {}
 func (*seat) Cancelled(core.JobID)                     {}
 func (*seat) Advised(string, guide.Result)             {}
-func (*seat) SeatLost(core.SessionID, bool)            {}
-func (*seat) SeatFound()                               {}
+func (s *seat) SeatLost(core.SessionID, bool)          { s.lost.Add(1) }
+func (s *seat) SeatFound()                             { s.found.Add(1) }
 func (*seat) Ask(a board.Ask, then func(guide.Result)) { then(guide.Result{Ask: a}) }
 func (*seat) State(context.Context, core.JobID) (state jobs.State, known, mine bool, err error) {
 	return "", false, true, nil
@@ -81,3 +82,38 @@
 	is.True(ways[1].calls.Load() <= 1)
 	is.Equal(ways[2].calls.Load(), int64(5))
 }
+
+// TestSilentOwner freezes the way to the owner without closing it: the VM
+// notices within some 1.2 s, and the seat is looked at.
+func TestSilentOwner(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &seat{}
+	srv := link.NewServer(s, "owner/1", (&way{}).serve, log.WithField("part", "link"))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Stop()
+	p := stand.NewProxy(netip.MustParseAddrPort(l.Addr().String()))
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = p.Serve(ctx, front) }()
+	w := &seat{}
+	c := link.NewClient("a", "zone", s, w, (&way{}).serve, log.WithField("part", "link"))
+	c.Follow(link.Target{Addr: netip.MustParseAddrPort(front.Addr().String()), Session: "owner/1"})
+	go func() { _ = c.Run(ctx) }()
+	for w.found.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	is.Equal(w.lost.Load(), int64(0)) // an idle owner is not a silent one
+	is.NoErr(p.Set(stand.Link{Cut: true}))
+	began := time.Now()
+	for w.lost.Load() == 0 {
+		is.True(time.Since(began) < 3*time.Second)
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -204,8 +204,14 @@
 	}()
 	done := make(chan error, 1)
 	go func() { done <- s.receive(ctx, stream, p) }()
+	beat := time.NewTicker(beatPause)
+	defer beat.Stop()
 	for {
 		select {
+		case <-beat.C:
+			if err := stream.Send(&wire.Down{}); err != nil {
+				return err
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		case err := <-done:
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -82,9 +82,11 @@
 	meter   Meter
 	log     *logrus.Entry
 
-	reign  *reign.Reign
-	limits board.Limits
-	policy *policy.Policy
+	reign *reign.Reign
+	// patience delays the claims of this process, whatever its way to the store.
+	patience time.Duration
+	limits   board.Limits
+	policy   *policy.Policy
 	// board is nil unless the process owns the fleet.
 	board *board.Board
 	peers *peers
@@ -138,7 +140,7 @@
 func New(l *loop.Loop, out Outside, me reign.Seat, patience time.Duration, limits board.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
 		loop: l, vault: out.Vault, workers: out.Workers, hosts: out.Hosts, meter: out.Meter, log: log, limits: limits,
-		reign: reign.New(me, patience), peers: newPeers(), absence: board.NewAbsence(), newsPause: newsMost,
+		reign: reign.New(me, patience), patience: patience, peers: newPeers(), absence: board.NewAbsence(), newsPause: newsMost,
 		onSeat: func(reign.Seat, bool) {}, onHosts: func([]board.Host) {},
 		left: make(chan struct{}),
 	}
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -76,6 +76,63 @@
 func (*outside) Plan(time.Duration)                 {}
 func (*outside) Own(bool)                           {}
 
+// row is the seat's row in a store that several VMs reach.
+type row struct {
+	mu      sync.Mutex
+	seat    reign.Seat
+	version uint64
+}
+
+// way is how one VM reaches the row, at some distance.
+type way struct {
+	*outside
+	row  *row
+	away time.Duration
+}
+
+func (w *way) Seat(context.Context) (reign.Look, error) {
+	time.Sleep(w.away)
+	w.row.mu.Lock()
+	defer w.row.mu.Unlock()
+	return reign.Look{Seat: w.row.seat, Version: w.row.version}, nil
+}
+
+func (w *way) Write(_ context.Context, r vault.Record) (table.Done, error) {
+	time.Sleep(w.away)
+	w.row.mu.Lock()
+	defer w.row.mu.Unlock()
+	if r.Version != w.row.version {
+		return table.Done{}, &table.ConflictError{}
+	}
+	w.row.seat, w.row.version = r.Seat, w.row.version+1
+	return table.Done{Version: w.row.version}, nil
+}
+
+// TestNearestClaims has two VMs find the seat free, the one far from the store a
+// little earlier: the near one, whose records take less time, gets it.
+func TestNearestClaims(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &row{}
+	for _, vm := range []struct {
+		name string
+		away time.Duration
+	}{{"far", 25 * time.Millisecond}, {"near", 2 * time.Millisecond}} {
+		w := &way{outside: &outside{}, row: r, away: vm.away}
+		o := owner.New(loop.New(ctx), owner.Outside{Vault: w, Workers: w, Hosts: w, Meter: w}, reign.Seat{Holder: core.SessionID(vm.name), VM: vm.name}, 0,
+			board.Limits{Lease: time.Second, Remote: 1}, log.WithField("part", "owner"))
+		go func() { _ = o.Run() }()
+		time.Sleep(60 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	is.Equal(r.seat.Holder, core.SessionID("near"))
+}
+
 // TestTrimmedFeed has the feed of changes cut while the owner reads the whole
 // record: one reading runs at a time, and the feed is not asked meanwhile.
 func TestTrimmedFeed(t *testing.T) {
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -15,6 +15,14 @@
 	"chicoryturn/io/vault"
 )
 
+// storeFactor times the way to the store and back is how much later a VM claims:
+// each record of an owner takes that way, and reading what is recorded some ten.
+// A slow store is no reason to wait beyond storeMost.
+const (
+	storeFactor = 3
+	storeMost   = 300 * time.Millisecond
+)
+
 // dropRoom bounds the rows of progress written and dropped in one record; the
 // platform takes 100 entries a transaction, with the seat and the roster.
 const dropRoom = 80
@@ -53,6 +61,7 @@
 func (o *Owner) looked(now time.Time, l reign.Look, took time.Duration) {
 	was := o.reign.Mine()
 	s := l.Seat
+	o.reign.SetPatience(o.patience + min(storeFactor*took, storeMost))
 	claim := o.reign.Looked(now, l)
 	if was && !o.reign.Mine() {
 		o.dismiss("the seat has another holder")
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -38,17 +38,75 @@
 	done   chan error
 }
 
+// lane holds the jobs that wait for one partition's next write. Most are empty,
+// so a writer lives only while there is work.
+type lane struct {
+	busy    bool
+	waiting []*acceptance
+}
+
 // Run records accepted jobs until the context ends; one write for each
 // partition is in flight, and what arrives meanwhile shares the next one.
 func (v *Vault) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	for i := range v.writes {
-		g.Go(func() error {
-			v.writer(ctx, v.writes[i])
-			return nil
-		})
-	}
-	return g.Wait()
+	var g errgroup.Group
+	for {
+		select {
+		case part := <-v.starts:
+			g.Go(func() error {
+				v.writer(ctx, part)
+				return nil
+			})
+		case <-ctx.Done():
+			err := g.Wait()
+			v.end()
+			return err
+		}
+	}
+}
+
+// end refuses what was not written before the process ends.
+func (v *Vault) end() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ended = true
+	for i := range v.lanes {
+		expire(v.lanes[i].waiting, true, false)
+		v.lanes[i].waiting = nil
+	}
+}
+
+// enter puts a job into its lane and has the lane's writer begin; it reports
+// whether there was room.
+func (v *Vault) enter(part int, a *acceptance) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	l := &v.lanes[part]
+	if v.ended || len(l.waiting) >= acceptQueue {
+		return false
+	}
+	l.waiting = append(l.waiting, a)
+	if !l.busy {
+		l.busy = true
+		v.starts <- part
+	}
+	return true
+}
+
+// next takes what the next write of a partition holds; left is what the last one
+// must write again. Its writer ends if there is nothing.
+func (v *Vault) next(part int, left []*acceptance) []*acceptance {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	l := &v.lanes[part]
+	n := min(max(acceptBatch-len(left), 0), len(l.waiting))
+	out := append(left, l.waiting[:n]...)
+	if l.waiting = l.waiting[n:]; len(l.waiting) == 0 {
+		l.waiting = nil
+	}
+	if len(out) == 0 {
+		l.busy = false
+	}
+	return out
 }
 
 // Accept records a job. A nil error means that the job is in the store. A
@@ -66,9 +124,7 @@
 		return err
 	}
 	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan error, 1)}
-	select {
-	case v.writes[partOf(spec.ID)] <- a:
-	default:
+	if !v.enter(partOf(spec.ID), a) {
 		r := core.Refuse(core.CodeBusy, "%d jobs wait for the store", acceptQueue)
 		r.RetryAfter = time.Second
 		return r
@@ -77,36 +133,20 @@
 	return <-a.done
 }
 
-func (v *Vault) writer(ctx context.Context, in <-chan *acceptance) {
-	var waiting []*acceptance
+// writer records what waits in one lane until it is empty.
+func (v *Vault) writer(ctx context.Context, part int) {
+	var left []*acceptance
 	for {
+		waiting := v.next(part, left)
 		if len(waiting) == 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case a := <-in:
-				waiting = append(waiting, a)
-			}
+			return
 		}
-		waiting = drain(in, waiting)
-		left := v.record(ctx, waiting)
-		if len(left) == len(waiting) && len(left) > 0 {
+		left = v.record(ctx, waiting)
+		if len(left) == len(waiting) {
 			clock.Wait(ctx, againPause)
 		}
-		waiting = expire(left, ctx.Err() != nil, v.Away())
-	}
-}
-
-func drain(in <-chan *acceptance, waiting []*acceptance) []*acceptance {
-	for len(waiting) < acceptBatch {
-		select {
-		case a := <-in:
-			waiting = append(waiting, a)
-		default:
-			return waiting
-		}
+		left = expire(left, ctx.Err() != nil, v.Away())
 	}
-	return waiting
 }
 
 // record writes all that waits in one transaction and returns what must be
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -9,9 +9,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,14 +43,14 @@
 	// 65,536.
 	rowMost = 64 << 10
 	// parts divides the jobs by name. A partition takes its transactions one
-	// after another, in 8 ms each, and in some 50 times as long when the store is
-	// slow: 64 then carry 150 jobs a second.
-	parts = 64
+	// after another, in 8 ms each, and in some 80 times as long when the store is
+	// slow: 256 then carry 400 jobs a second, each from another VM.
+	parts = 256
 	// awayAgain is when a client that was refused should come back: clients come
 	// back through any VM, and most cuts spare some.
 	awayAgain = time.Second
 	// readers bounds the partitions read side by side.
-	readers = 8
+	readers = 32
 )
 
 // Reach tells whether the table can be reached.
@@ -56,6 +58,10 @@
 	Away() bool
 }
 
+// rangeStarts divide the names of jobs into ranges that are read side by side;
+// names are mostly hexadecimal.
+var rangeStarts = [...]string{"", "1", "2", "3", "4", "5", "6", "7", "8", "9", "a", "b", "c", "d", "e", "f"}
+
 // Vault reads and writes the product's rows.
 type Vault struct {
 	store table.Doer
@@ -63,7 +69,13 @@
 	// writePace and readPace learn how long the store's answers take.
 	writePace, readPace pace
 
-	writes [parts]chan *acceptance
+	// starts names the partitions whose writers must begin.
+	starts chan int
+	// mu guards the lanes and ended.
+	mu    sync.Mutex
+	lanes [parts]lane
+	// ended is set once Run has, and nothing is written any more.
+	ended bool
 }
 
 // Option changes a vault under construction.
@@ -75,13 +87,10 @@
 
 // New returns a vault over a store. Run must be called for jobs to be accepted.
 func New(s table.Doer, opts ...Option) *Vault {
-	v := &Vault{store: s}
+	v := &Vault{store: s, starts: make(chan int, parts)}
 	for _, o := range opts {
 		o(v)
 	}
-	for i := range v.writes {
-		v.writes[i] = make(chan *acceptance, acceptQueue)
-	}
 	return v
 }
 
@@ -259,7 +268,7 @@
 	for p := range parts {
 		g.Go(func() error {
 			var err error
-			found[p].Version, err = v.scan(sub, jobTable, partName(p), found[p].addJob)
+			found[p].Version, err = v.scan(sub, table.Range{Table: jobTable, Part: partName(p)}, found[p].addJob)
 			return err
 		})
 	}
@@ -278,8 +287,27 @@
 		out.Unread = append(out.Unread, f.Unread...)
 		out.Version = min(out.Version, f.Version)
 	}
-	_, err := v.scan(ctx, progTable, fleetPart, out.addProgress)
-	return out, err
+	var progress [len(rangeStarts)]Recorded
+	g, sub = errgroup.WithContext(ctx)
+	for i, from := range rangeStarts {
+		to := ""
+		if i+1 < len(rangeStarts) {
+			to = rangeStarts[i+1]
+		}
+		progress[i].Progress = map[core.JobID]jobs.Progress{}
+		g.Go(func() error {
+			_, err := v.scan(sub, table.Range{Table: progTable, Part: fleetPart, From: from, To: to}, progress[i].addProgress)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	for _, p := range progress {
+		maps.Copy(out.Progress, p.Progress)
+		out.Unread = append(out.Unread, p.Unread...)
+	}
+	return out, nil
 }
 
 // roster reads the list of workers in use.
@@ -328,12 +356,12 @@
 	r.Progress[p.Job] = p
 }
 
-// scan reads all rows of one partition of a table and returns the version from
-// which its feed misses nothing.
-func (v *Vault) scan(ctx context.Context, name, part string, each func(table.Row)) (uint64, error) {
-	first, from := uint64(0), ""
+// scan reads all rows of a range and returns the version from which its feed
+// misses nothing.
+func (v *Vault) scan(ctx context.Context, in table.Range, each func(table.Row)) (uint64, error) {
+	first := uint64(0)
 	for {
-		p, err := v.read(ctx, table.Range{Table: name, Part: part, From: from})
+		p, err := v.read(ctx, in)
 		if err != nil {
 			return 0, err
 		}
@@ -346,7 +374,7 @@
 		if !p.More || len(p.Rows) == 0 {
 			return first, nil
 		}
-		from = p.Rows[len(p.Rows)-1].Name + "\x01"
+		in.From = p.Rows[len(p.Rows)-1].Name + "\x01"
 	}
 }
 
