--- a/core/board/advice.go
+++ b/core/board/advice.go
@@ -38,6 +38,9 @@
 	// askPart divides the tasks that wait into the fewest that a call should
 	// find room for.
 	askPart = 4
+	// unlikelyPause is the time between two calls for a phase that are not likely
+	// to let its tasks start, while few turns are free.
+	unlikelyPause = 3 * time.Second
 	// unknownShare is the part of the workers that counts as allowed before a
 	// queue's calls have told, with the weight of shareTrust workers named.
 	// Beyond shareMemory older answers weigh less.
@@ -59,6 +62,8 @@
 	fresh time.Time
 	// idle is until when another call is not worth looking into.
 	idle time.Time
+	// unlikely is when a call against the odds was last sent.
+	unlikely time.Time
 	// asked is when a call was sent that has not been answered; zero if none.
 	asked time.Time
 	// lost is when that call counts as lost.
@@ -192,8 +197,8 @@
 
 // Ask hands out the calls for advice that are worth their time now, the most
 // urgent first. A call that would only wait is not made: by the time it begins,
-// other work may be more urgent, and room elsewhere. Turns that are to spare
-// learn who may run phases that have no room yet.
+// other work may be more urgent, and room elsewhere. Turns that are to spare, and
+// now and then others, go to calls that are less likely to let tasks start.
 func (b *Board) Ask(now time.Time, turns Turns) {
 	b.now = now
 	if !turns.Free(0) {
@@ -211,18 +216,17 @@
 			continue
 		}
 		u.advice.idle = now.Add(askAgain)
-		if !u.advice.known {
-			later = append(later, u)
-		}
+		later = append(later, u)
 	}
 	for _, u := range later {
-		if !turns.Spare() {
-			return
+		p, ok := u.policy().Get()
+		rested := now.Sub(u.since) > unlikelyPause && now.Sub(u.advice.unlikely) > unlikelyPause
+		if !ok || !turns.Free(p.Base) || !turns.Spare() && !rested {
+			continue
 		}
-		if p, ok := u.policy().Get(); ok {
-			if names := u.chances(p).unnamed(askMost); len(names) > 0 {
-				b.handOut(turns, u, p, names)
-			}
+		if names := u.unlikely(p); len(names) > 0 {
+			u.advice.unlikely = now
+			b.handOut(turns, u, p, names)
 		}
 	}
 }
@@ -345,6 +349,29 @@
 	return append(again, others...)
 }
 
+// unlikely returns the workers of a call that may let tasks start against the
+// odds, or learns who may run a phase of which nothing is known.
+func (u *unit) unlikely(p policy.Advice) []core.WorkerID {
+	c := u.chances(p)
+	if !u.advice.known {
+		return c.unnamed(askMost)
+	}
+	room := c.ready
+	var names []core.WorkerID
+	for _, list := range [][]chance{c.stale, c.fresh} {
+		for _, w := range list {
+			if w.slots > 0 && len(names) < askMost {
+				names = append(names, w.worker)
+				room += w.slots
+			}
+		}
+	}
+	if c.ready >= u.idle || room < u.least() || !u.job.board.withinLimit(u, u.need(), u.least()) {
+		return nil
+	}
+	return names
+}
+
 // worthLeast is for how many tasks a call must find room: it takes about the
 // same time for one task as for many.
 func (u *unit) worthLeast() int {
--- a/core/board/advice_test.go
+++ b/core/board/advice_test.go
@@ -176,3 +176,19 @@
 	}
 	is.True(d.started(40, 1500*time.Millisecond, func(core.WorkerID) bool { return true }))
 }
+
+// TestAskAgainstOdds plays a gang after answers that have allowed nobody: while
+// other workers have room for it, they are asked for, however unlikely.
+func TestAskAgainstOdds(t *testing.T) {
+	is := is.New(t)
+	d := row(6, policy.Advice{Base: 5 * time.Millisecond, PerWorker: 100 * time.Microsecond, Valid: time.Second})
+	d.Accept(d.now, plain("g", 3, true))
+	d.Accept(d.now, plain("other", 1, false))
+	var named []core.WorkerID
+	for _, h := range d.hosts {
+		named = append(named, h.Worker())
+	}
+	d.Advised(d.now, jobs.PhaseID{Job: "other"}, named, nil, time.Second)
+	d.Advised(d.now, jobs.PhaseID{Job: "g"}, named[:3], nil, time.Second)
+	is.True(d.started(3, time.Second, func(w core.WorkerID) bool { return w >= "w003" }))
+}
--- a/core/board/place.go
+++ b/core/board/place.go
@@ -17,6 +17,11 @@
 	slowWeight = 0.5
 	// noBound stands for a phase without a bound on tasks per worker.
 	noBound = math.MaxInt
+	// marginPart of the expected time, and marginLeast more, is how much longer
+	// work may take and still count as on time: most run times are within an
+	// eighth, and an end takes some 100 ms to be heard of and recorded.
+	marginPart  = 8
+	marginLeast = 100 * time.Millisecond
 	// restFresh is how long an estimate of the remaining time is used again.
 	restFresh = 300 * time.Millisecond
 	// tellAfter is how long work waits before the log says why, tellPause the time
@@ -66,6 +71,7 @@
 		}
 		s := standing{unit: u}
 		left := b.remaining(u)
+		left += left/marginPart + marginLeast
 		switch {
 		case u.job.beyond:
 			s.tardy = 2
--- a/core/board/place_test.go
+++ b/core/board/place_test.go
@@ -333,3 +333,20 @@
 	_, known = d.State("j")
 	is.True(!known)
 }
+
+// TestClosePrediction plays a job that would end on time only if it took not a
+// moment longer than expected, on a full fleet: one that surely can goes first,
+// as both would be late otherwise.
+func TestClosePrediction(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	d.pass(time.Minute)
+	d.held(d.hosts[0], nil, nil)
+	for id, age := range map[string]time.Duration{"close": 1950 * time.Millisecond, "fresh": 0} {
+		s := plain(id, 1, false) // 1 s long, owed within 3 s
+		s.Phases[0].Need.Cores, s.Sent = 4000, d.now.Add(-age)
+		d.Accept(d.now, s)
+	}
+	is.Equal(d.plan(board.OrderStart)[0].Task.Job, core.JobID("fresh"))
+}
--- a/core/mimic/mimic.go
+++ b/core/mimic/mimic.go
@@ -57,6 +57,9 @@
 	// End is zero while the run goes on.
 	End time.Time
 	How board.End
+	// Lost is set if the worker crashed before the end was acknowledged: nobody
+	// can learn of it any more.
+	Lost bool
 }
 
 // Worker is one worker.
@@ -110,6 +113,14 @@
 		w.close(r, at, board.EndOther)
 	}
 	w.active = nil
+	for _, e := range w.ended {
+		for _, s := range w.Log {
+			if s.Task == e.Task && s.Run == e.Run {
+				s.Lost = true
+			}
+		}
+	}
+	w.ended = nil
 }
 
 func (w *Worker) close(r *run, at time.Time, how board.End) {
