--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -66,13 +66,15 @@
 
 // end refuses what was not written before the process ends.
 func (v *Vault) end() {
+	var left []*acceptance
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.ended = true
 	for i := range v.lanes {
-		expire(v.lanes[i].waiting, true, false)
+		left = append(left, v.lanes[i].waiting...)
 		v.lanes[i].waiting = nil
 	}
+	v.mu.Unlock()
+	v.expire(left, true, false)
 }
 
 // enter puts a job into its lane and has the lane's writer begin; it reports
@@ -120,14 +122,14 @@
 	if len(put.Val) > rowMost {
 		return core.Refuse(core.CodeTooLarge, "the job takes %d bytes in the store, at most %d", len(put.Val), rowMost)
 	}
-	if err := v.away(); err != nil {
-		return err
+	if v.Away() {
+		return v.refusal(spec.ID, v.away())
 	}
 	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan error, 1)}
 	if !v.enter(partOf(spec.ID), a) {
 		r := core.Refuse(core.CodeBusy, "%d jobs wait for the store", acceptQueue)
 		r.RetryAfter = time.Second
-		return r
+		return v.refusal(spec.ID, r)
 	}
 	// The writer always answers, soon after the caller's time is up.
 	return <-a.done
@@ -145,7 +147,7 @@
 		if len(left) == len(waiting) {
 			clock.Wait(ctx, againPause)
 		}
-		left = expire(left, ctx.Err() != nil, v.Away())
+		left = v.expire(left, ctx.Err() != nil, v.Away())
 	}
 }
 
@@ -206,7 +208,7 @@
 
 // expire answers those whose callers have no time left, or whom the store has
 // only refused, and all while it is away: their callers can ask another VM.
-func expire(waiting []*acceptance, all, away bool) []*acceptance {
+func (v *Vault) expire(waiting []*acceptance, all, away bool) []*acceptance {
 	var out []*acceptance
 	for _, a := range waiting {
 		over := all || away || a.ctx.Err() != nil || !a.unsure && time.Since(a.began) > refusedMost
@@ -215,11 +217,12 @@
 			continue
 		}
 		if a.unsure {
+			v.doubt(a.spec.ID)
 			a.done <- core.Unknown(core.CodeStore, a.ctx.Err(), "the store has not confirmed the job")
 		} else {
 			r := core.Refuse(core.CodeStore, "the store takes no jobs at present")
 			r.RetryAfter = time.Second
-			a.done <- r
+			a.done <- v.refusal(a.spec.ID, r)
 		}
 	}
 	return out
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -71,9 +71,12 @@
 
 	// starts names the partitions whose writers must begin.
 	starts chan int
-	// mu guards the lanes and ended.
-	mu    sync.Mutex
-	lanes [parts]lane
+	// mu guards all below.
+	mu sync.Mutex
+	// doubts holds since when jobs may have been recorded that clients were told
+	// are not known to be.
+	doubts map[core.JobID]time.Time
+	lanes  [parts]lane
 	// ended is set once Run has, and nothing is written any more.
 	ended bool
 }
@@ -87,7 +90,7 @@
 
 // New returns a vault over a store. Run must be called for jobs to be accepted.
 func New(s table.Doer, opts ...Option) *Vault {
-	v := &Vault{store: s, starts: make(chan int, parts)}
+	v := &Vault{store: s, starts: make(chan int, parts), doubts: map[core.JobID]time.Time{}}
 	for _, o := range opts {
 		o(v)
 	}
@@ -99,10 +102,7 @@
 
 // away returns the refusal of a call that would only wait for a store that
 // cannot be reached; clients come back through other VMs.
-func (v *Vault) away() error {
-	if !v.Away() {
-		return nil
-	}
+func (v *Vault) away() *core.RefusalError {
 	r := core.Refuse(core.CodeStore, "this VM does not reach the store")
 	r.RetryAfter = awayAgain
 	return r
@@ -398,8 +398,8 @@
 
 // State reads how a job is to be shown, from the record alone.
 func (v *Vault) State(ctx context.Context, id core.JobID) (jobs.State, error) {
-	if err := v.away(); err != nil {
-		return "", err
+	if v.Away() {
+		return "", v.away()
 	}
 	row, err := v.get(ctx, jobKey(id))
 	if err != nil {
--- a/io/vault/vault_test.go
+++ b/io/vault/vault_test.go
@@ -355,6 +355,8 @@
 	var r *core.RefusalError
 	is.True(errors.As(<-unsure, &r))
 	is.Equal(r.Run, core.RunUnknown) // the client asks again under the same name
+	is.True(errors.As(v.Accept(ctx, jobs.Spec{ID: "a", Team: "t", Queue: "q"}), &r))
+	is.Equal(r.Run, core.RunUnknown) // the first call may still be carried out
 	writes := m.count()
 	is.True(errors.As(v.Accept(ctx, jobs.Spec{ID: "b", Team: "t", Queue: "q"}), &r))
 	is.Equal(r.Run, core.RunNo)
