Record the list of workers again if it has changed while it was being recorded

The owner's dump tells the workers' incarnations unrecorded: a list that changed while an earlier one was in flight was taken for written when that one was confirmed. Such workers are never used, until the list changes again. Ruled out: the seat (held and renewed), advice (82 calls answered). Change: the version of the list goes with its record. TestRosterChangesDuringWrite fails before.

--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -153,3 +153,69 @@
 	is.Equal(out.most, 1)
 	is.True(out.asked <= out.loads)
 }
+
+// renamed stands for a worker whose incarnation is newer than the platform's list
+// tells, and a store that takes its time.
+type renamed struct {
+	*outside
+	mu      sync.Mutex
+	version uint64
+	rosters [][]board.Host
+	// first is closed once a list of workers is being written.
+	first chan struct{}
+	once  sync.Once
+}
+
+var (
+	listed = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	reborn = listed.Add(time.Minute)
+)
+
+func (*renamed) Hosts(context.Context) ([]board.Host, []error, error) {
+	return []board.Host{{VM: core.VM{Name: "w", Service: "s"}, Born: listed}}, nil, nil
+}
+
+func (r *renamed) Hold(ctx context.Context, _ board.Order) (board.Lists, board.Reply, error) {
+	select {
+	case <-r.first:
+	case <-ctx.Done():
+	}
+	return board.Lists{Clock: time.Second, Born: reborn}, board.ReplyDone, nil
+}
+
+func (*renamed) News(context.Context, uint64) (vault.Recorded, error) { return vault.Recorded{}, nil }
+
+func (r *renamed) Write(_ context.Context, rec vault.Record) (table.Done, error) {
+	if rec.Roster != nil {
+		r.once.Do(func() { close(r.first) })
+	}
+	time.Sleep(150 * time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	if rec.Roster != nil {
+		r.rosters = append(r.rosters, rec.Roster)
+	}
+	return table.Done{Version: r.version}, nil
+}
+
+// TestRosterChangesDuringWrite has a worker tell of a new incarnation while the
+// list that names the old one is being recorded: the new list is recorded after
+// it. A worker that is not recorded is never used.
+func TestRosterChangesDuringWrite(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &renamed{outside: &outside{}, first: make(chan struct{})}
+	o := owner.New(loop.New(ctx), owner.Outside{Vault: r, Workers: r, Hosts: r, Meter: r}, reign.Seat{Holder: "a/1", VM: "a"}, 0,
+		board.Limits{Lease: 6 * time.Second, Remote: 1}, log.WithField("part", "owner"))
+	go func() { _ = o.Run() }()
+	o.SetPolicy(policy.New(1, nil, nil, []policy.Service{{Name: "s"}}, 0))
+	time.Sleep(4 * time.Second)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	is.True(len(r.rosters) > 0)
+	is.True(r.rosters[len(r.rosters)-1][0].Born.Equal(reborn))
+}
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -150,7 +150,7 @@
 		return
 	}
 	o.writing = true
-	epoch := seat.Epoch
+	epoch, roster := seat.Epoch, o.rosterVersion
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
 		began := time.Now()
 		done, err := o.vault.Write(ctx, rec)
@@ -158,13 +158,14 @@
 		return func(o *Owner, now time.Time) {
 			o.writing = false
 			o.meter.Record(len(rec.Progress), took)
-			o.wrote(now, rec, done, epoch, err)
+			o.wrote(now, rec, roster, done, epoch, err)
 		}
 	})
 }
 
-// wrote follows the outcome of a write.
-func (o *Owner) wrote(now time.Time, rec vault.Record, done table.Done, epoch core.Epoch, err error) {
+// wrote follows the outcome of a write; roster is the version of the list of
+// workers in it.
+func (o *Owner) wrote(now time.Time, rec vault.Record, roster uint64, done table.Done, epoch core.Epoch, err error) {
 	same := o.board != nil && o.board.Epoch() == epoch
 	o.nextWrite = now.Add(recordPause)
 	var conflict *table.ConflictError
@@ -179,7 +180,7 @@
 		}
 		if same {
 			o.board.Recorded(now)
-			o.rosterWritten(rec.Roster)
+			o.rosterWritten(rec.Roster, roster)
 			if rec.Drops != nil {
 				o.drops = nil
 			}
@@ -208,15 +209,17 @@
 	}
 }
 
-func (o *Owner) rosterWritten(r []board.Host) {
+// rosterWritten follows the record of a list of workers. One that has changed
+// since is still to be recorded.
+func (o *Owner) rosterWritten(r []board.Host, version uint64) {
 	if r == nil {
 		return
 	}
-	o.newRoster = nil
-	o.board.Known(r)
-	if o.board.RosterVersion() != o.rosterVersion {
-		o.checkRoster()
+	if version == o.rosterVersion {
+		o.newRoster = nil
 	}
+	o.board.Known(r)
+	o.checkRoster()
 }
 
 // reload reads all that is recorded, after a claim or when the feed of changes
