Runs that a worker's new incarnation may have stay where they are until its lists tell

The worker crashed and came back within 0.5 s under the same name, while the owner, whose records were not confirmed, asked it for its lists every 1.5 s only. A start was confirmed by the new incarnation; the next lists showed a new birth, all runs there counted as over, and the tasks were started elsewhere. Change: after a rebirth each run is kept until the new lists name it or not, and stops that the old incarnation has answered are sent again.

--- a/core/board/contact.go
+++ b/core/board/contact.go
@@ -61,10 +61,19 @@
 	b.changed = true
 }
 
-// reborn follows a new incarnation under the same name: the old one's runs are
-// over and its numbers and clock begin anew.
+// reborn follows a new incarnation under the same name: its numbers and clock
+// begin anew. The old one's runs are over, but an order may have reached the new
+// one: its lists tell, and a stop that the old one has answered bars nothing
+// there.
 func (w *Worker) reborn() {
-	w.cut()
+	w.board.counts.Lapses++
+	w.foreign, w.blocked = nil, time.Time{}
+	for _, t := range w.tasks {
+		t.halted, t.stopped = time.Time{}, time.Time{}
+	}
+	for i := range w.strays {
+		w.strays[i].halted, w.strays[i].stopped = time.Time{}, time.Time{}
+	}
 	w.clock, w.heard, w.until = 0, time.Time{}, 0
 	w.taken, w.seen, w.after = 0, 0, 0
 	w.failed = 0
@@ -255,6 +264,8 @@
 	case taskRunning:
 		// The worker had confirmed the run before it was asked.
 		if !t.began.IsZero() && sent.After(t.began) {
+			b := t.unit.job.board
+			b.note(Note{Job: t.unit.id.Job, What: "run is on its worker no more", Worker: t.worker.id, Task: t.ID().String(), Run: t.run})
 			t.fire(taskCut)
 		}
 	case taskDoubtful, taskStopping, taskLeaving:
