--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -430,7 +430,7 @@
 	d.Accept(d.now, plain("j", 1, false))
 	s := d.plan(board.OrderStart)[0]
 	d.Started(d.now, s.Worker, s.Task, s.Run, board.ReplyNone)
-	is.Equal(len(d.Orders()), 1) // a stop
+	is.Equal(len(d.Orders()), 1)                               // a stop
 	d.Stopped(d.now, s.Worker, s.Task, s.Run, board.ReplyDone) // by the old one
 	d.pass(100 * time.Millisecond)
 	h := s.Host
