--- a/core/board/advice_test.go
+++ b/core/board/advice_test.go
@@ -14,6 +14,19 @@
 	"chicoryturn/core/policy"
 )
 
+// largeDesk returns an owner of many free workers that it has heard of.
+func largeDesk(workers int, p *policy.Policy) *desk {
+	d := &desk{now: dawn, Board: board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)}
+	for i := range workers {
+		h := host(i)
+		h.Name, h.Born = fmt.Sprintf("w%03d", i), dawn.Add(-time.Hour)
+		h.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80)
+		d.hosts = append(d.hosts, h)
+	}
+	d.open()
+	return d
+}
+
 // wide is a fleet of many workers whose queue has a placement policy. The
 // first half of the workers by name is full.
 func wide(is *is.I, workers int) *desk {
@@ -23,14 +36,7 @@
 	}, {
 		Name: "any", Host: "h", Prefix: "/any/", Service: "s", Attempts: 3, Slowdown: 4, Latency: time.Second,
 	}}, []policy.Team{{Name: "t", Weight: 1000}}, []policy.Service{{Name: "s"}}, 0)
-	d := &desk{now: dawn, Board: board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)}
-	for i := range workers {
-		h := host(i)
-		h.Name, h.Born = fmt.Sprintf("w%03d", i), dawn.Add(-time.Hour)
-		h.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80)
-		d.hosts = append(d.hosts, h)
-	}
-	d.open()
+	d := largeDesk(workers, p)
 	filler := plain("filler", workers/2, false)
 	filler.Queue, filler.Phases[0].Need.Cores = "any", 4000
 	d.Accept(d.now, filler)
@@ -99,15 +105,7 @@
 	p := policy.New(1, []policy.Queue{{
 		Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 4, Latency: time.Second, Advice: core.Some(a),
 	}}, []policy.Team{{Name: "t", Weight: 1000}}, []policy.Service{{Name: "s"}}, 0)
-	d := &desk{now: dawn, Board: board.New(dawn, 1, board.Limits{Lease: lease, Remote: 1}, p)}
-	for i := range workers {
-		h := host(i)
-		h.Name, h.Born = fmt.Sprintf("w%03d", i), dawn.Add(-time.Hour)
-		h.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80)
-		d.hosts = append(d.hosts, h)
-	}
-	d.open()
-	return d
+	return largeDesk(workers, p)
 }
 
 // started answers calls for advice, each after its length, until a number of
--- a/core/board/early.go
+++ b/core/board/early.go
@@ -45,8 +45,11 @@
 
 // spread orders workers by a hash that differs by seed.
 func spread(ids []core.WorkerID, seed uint64) {
-	order := func(id core.WorkerID) uint64 { return (xxhash.Sum64String(string(id)) ^ seed) * mixer }
-	slices.SortFunc(ids, func(x, y core.WorkerID) int { return cmp.Compare(order(x), order(y)) })
+	order := make(map[core.WorkerID]uint64, len(ids))
+	for _, id := range ids {
+		order[id] = (xxhash.Sum64String(string(id)) ^ seed) * mixer
+	}
+	slices.SortFunc(ids, func(x, y core.WorkerID) int { return cmp.Compare(order[x], order[y]) })
 }
 
 // EarlyNames returns the workers that a VM names in its own call for the first
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -259,11 +259,7 @@
 		}
 		c.adviser.Ask(a, c.Advised)
 	case *wire.Down_Roomy:
-		ids := make([]core.WorkerID, len(k.Roomy.Workers))
-		for i, w := range k.Roomy.Workers {
-			ids[i] = core.WorkerID(w)
-		}
-		c.onRoomy(ids)
+		c.onRoomy(workers(k.Roomy.Workers))
 	case *wire.Down_Reply:
 		c.asked.deliver(k.Reply.Number, k.Reply)
 	case *wire.Down_Carried:
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -72,11 +72,7 @@
 }
 
 func fromAsk(a board.Ask) *wire.Advise {
-	out := &wire.Advise{Phase: fromPhase(a.Phase), Cost: durationpb.New(a.Cost)}
-	for _, w := range a.Workers {
-		out.Workers = append(out.Workers, string(w))
-	}
-	return out
+	return &wire.Advise{Phase: fromPhase(a.Phase), Workers: names(a.Workers), Cost: durationpb.New(a.Cost)}
 }
 
 func toAsk(a *wire.Advise) (board.Ask, error) {
@@ -87,6 +83,14 @@
 	return board.Ask{Phase: id, Workers: workers(a.Workers), Cost: a.GetCost().AsDuration()}, nil
 }
 
+func names(ids []core.WorkerID) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = string(id)
+	}
+	return out
+}
+
 func workers(names []string) []core.WorkerID {
 	out := make([]core.WorkerID, len(names))
 	for i, n := range names {
@@ -96,10 +100,7 @@
 }
 
 func fromResult(r guide.Result) *wire.Advised {
-	out := &wire.Advised{Phase: fromPhase(r.Ask.Phase), Failed: r.Err != nil, Valid: durationpb.New(r.Left(time.Now()))}
-	for _, w := range r.Ask.Workers {
-		out.Named = append(out.Named, string(w))
-	}
+	out := &wire.Advised{Phase: fromPhase(r.Ask.Phase), Failed: r.Err != nil, Named: names(r.Ask.Workers), Valid: durationpb.New(r.Left(time.Now()))}
 	for _, a := range r.Allowed {
 		out.Allowed = append(out.Allowed, string(a.Worker))
 		out.Tickets = append(out.Tickets, a.Ticket)
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -50,24 +50,38 @@
 	return w.out
 }
 
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log.WithField("part", "link")
+}
+
+// serveOwner runs the owner's side until the test ends.
+func serveOwner(t *testing.T, s *seat, log *logrus.Entry) (*link.Server, netip.AddrPort) {
+	t.Helper()
+	srv := link.NewServer(s, "owner/1", (&way{}).serve, log)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	return srv, netip.MustParseAddrPort(l.Addr().String())
+}
+
 // TestCarry has the owner's calls carried by VMs of which the table turns most
 // away: one that does not is found, and kept to.
 func TestCarry(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := quiet()
 	s := &seat{}
-	srv := link.NewServer(s, "owner/1", (&way{}).serve, log.WithField("part", "link"))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() { _ = srv.Serve(l) }()
-	defer srv.Stop()
+	srv, at := serveOwner(t, s, log)
 	ways := []*way{{out: table.Outcome{Refused: 503}}, {out: table.Unreached()}, {out: table.Outcome{Done: &table.Done{Version: 7}}}}
 	for i, w := range ways {
-		c := link.NewClient(string(rune('a'+i)), "zone", s, s, w.serve, log.WithField("part", "link"))
-		c.Follow(link.Target{Addr: netip.MustParseAddrPort(l.Addr().String()), Session: "owner/1"})
+		c := link.NewClient(string(rune('a'+i)), "zone", s, s, w.serve, log)
+		c.Follow(link.Target{Addr: at, Session: "owner/1"})
 		go func() { _ = c.Run(ctx) }()
 	}
 	for s.joined.Load() < int64(len(ways)) {
@@ -89,20 +103,15 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := quiet()
 	s := &seat{}
-	srv := link.NewServer(s, "owner/1", (&way{}).serve, log.WithField("part", "link"))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() { _ = srv.Serve(l) }()
-	defer srv.Stop()
-	p := stand.NewProxy(netip.MustParseAddrPort(l.Addr().String()))
+	_, at := serveOwner(t, s, log)
+	p := stand.NewProxy(at)
 	front, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	go func() { _ = p.Serve(ctx, front) }()
 	w := &seat{}
-	c := link.NewClient("a", "zone", s, w, (&way{}).serve, log.WithField("part", "link"))
+	c := link.NewClient("a", "zone", s, w, (&way{}).serve, log)
 	c.Follow(link.Target{Addr: netip.MustParseAddrPort(front.Addr().String()), Session: "owner/1"})
 	go func() { _ = c.Run(ctx) }()
 	for w.found.Load() == 0 {
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -158,11 +158,7 @@
 
 // Roomy implements owner.Peer.
 func (p *peer) Roomy(ids []core.WorkerID) {
-	m := &wire.Roomy{}
-	for _, id := range ids {
-		m.Workers = append(m.Workers, string(id))
-	}
-	p.send(&wire.Down{Kind: &wire.Down_Roomy{Roomy: m}})
+	p.send(&wire.Down{Kind: &wire.Down_Roomy{Roomy: &wire.Roomy{Workers: names(ids)}}})
 }
 
 // Resigned implements owner.Peer.
