A worker reborn before its first answer must be recorded again

An owner was stopped by SIGSTOP for 4.3 s and replaced. A worker that it had listed and recorded, but never heard, crashed and came back under its name before it answered. The first answer changed the incarnation in the list to be recorded, but the worker kept counting as recorded, so the replaced owner placed tasks there; the new incarnation knows no fence. Ruled out: late orders (the start was sent after the stop ended), links held by the proxy (the link was open). Change: any change of a worker's incarnation, by its answer or by the list, makes it unrecorded until the next record.

--- a/core/board/contact.go
+++ b/core/board/contact.go
@@ -40,10 +40,7 @@
 		w.reborn()
 	}
 	w.born = l.Born
-	if !w.host.Born.Equal(l.Born) {
-		w.host.Born = l.Born
-		b.roster++
-	}
+	w.setBorn(l.Born)
 	if w.heard.IsZero() {
 		// An earlier owner may have granted a full lease up to this answer.
 		w.until = max(w.until, l.Clock+b.limits.Lease)
@@ -77,7 +74,16 @@
 	w.clock, w.heard, w.until = 0, time.Time{}, 0
 	w.taken, w.seen, w.after = 0, 0, 0
 	w.failed = 0
-	w.recorded = false
+}
+
+// setBorn follows the incarnation that a worker or the list names. The recorded
+// roster does not hold a new one yet.
+func (w *Worker) setBorn(born time.Time) {
+	if w.host.Born.Equal(born) {
+		return
+	}
+	w.host.Born, w.recorded = born, false
+	w.board.roster++
 }
 
 func (w *Worker) takeEnds(ends []Ended) {
--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -268,6 +268,32 @@
 	is.Equal(len(d.plan(board.OrderStart)), 1)
 }
 
+// TestRebornBeforeFirstAnswer plays a worker that starts anew after it was listed
+// and recorded, before it has ever answered this owner: the new incarnation, told
+// by its own answer or by the list, is used only once it is recorded.
+func TestRebornBeforeFirstAnswer(t *testing.T) {
+	for name, listed := range map[string]bool{"told by its answer": false, "told by the list": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(1, 1)
+			d.SetHosts(d.now, d.hosts)
+			d.Known(d.Roster())
+			reborn := d.hosts[0]
+			reborn.Born = d.now
+			d.pass(time.Second)
+			if listed {
+				d.SetHosts(d.now, []board.Host{reborn})
+			}
+			d.held(reborn, nil, nil)
+			d.Accept(d.now, plain("j", 1, false))
+			is.Equal(len(d.plan(board.OrderStart)), 0)
+			is.Equal(d.Roster()[0].Born, reborn.Born)
+			d.Known(d.Roster())
+			is.Equal(len(d.plan(board.OrderStart)), 1)
+		})
+	}
+}
+
 // TestGangLacksMember plays a take-over in which one member of a gang runs
 // nowhere: the others are stopped, and the gang starts again as a whole.
 func TestGangLacksMember(t *testing.T) {
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -207,10 +207,11 @@
 	if h.Room != w.host.Room {
 		w.free = w.free.Add(h.Room).Sub(w.host.Room)
 	}
-	if !w.born.IsZero() {
-		// What the worker itself says of its incarnation is newer than the list.
-		h.Born = w.born
+	if w.born.IsZero() {
+		w.setBorn(h.Born)
 	}
+	// What the worker itself says of its incarnation is newer than the list.
+	h.Born = w.host.Born
 	w.host = h
 }
 
