--- a/core/reign/reign.go
+++ b/core/reign/reign.go
@@ -101,8 +101,9 @@
 	patience time.Duration
 	// doubt is set while the outcome of a write is not known.
 	doubt bool
-	// skew is how far the two clocks were apart at the last check.
-	skew time.Duration
+	// skew is how far the two clocks were apart at the last check, checked what
+	// the counting one read then.
+	skew, checked time.Duration
 	// over names an incarnation that is known to have ended.
 	over core.SessionID
 	// suspect names an incarnation that does not answer this process.
@@ -291,15 +292,17 @@
 
 // Awake compares the time since start on a clock that counts suspended time
 // with that on one that does not. It reports whether orders may be sent: after
-// a suspension the row must be confirmed first.
+// a suspension, or when the process has been stopped for long enough that others
+// may have claimed, the row must be confirmed first.
 func (r *Reign) Awake(counting, steady time.Duration) bool {
 	skew := counting - steady
-	if skew-r.skew > thaw && r.Mine() {
+	stalled := r.checked > 0 && counting-r.checked > SuspectTTL
+	if (skew-r.skew > thaw || stalled) && r.Mine() {
 		r.frozen = true
 	}
-	r.skew = skew
+	r.skew, r.checked = skew, counting
 	return !r.frozen
 }
 
-// Frozen reports whether the row must be confirmed after a suspension.
+// Frozen reports whether the row must be confirmed after a suspension or a stop.
 func (r *Reign) Frozen() bool { return r.frozen }
--- a/core/reign/reign_test.go
+++ b/core/reign/reign_test.go
@@ -154,6 +154,22 @@
 	is.True(r.Awake(7*time.Second, 4*time.Second))
 }
 
+// TestStall plays an owner that was stopped while both clocks went on: others may
+// have claimed meanwhile.
+func TestStall(t *testing.T) {
+	is := is.New(t)
+	r := newReign()
+	r.Looked(at(0), reign.Look{Seat: reign.Seat{}, Version: 0})
+	s, _ := r.Next(dawn)
+	r.Wrote(at(10), s, 7, 0)
+	r.Loaded()
+	is.True(r.Awake(time.Hour, time.Hour))
+	is.True(r.Awake(time.Hour+700*time.Millisecond, time.Hour+700*time.Millisecond)) // its usual pause
+	is.True(!r.Awake(time.Hour+3*time.Second, time.Hour+3*time.Second))
+	r.Wrote(at(3100), s, 8, 0)
+	is.True(r.Awake(time.Hour+3100*time.Millisecond, time.Hour+3100*time.Millisecond))
+}
+
 func TestResignedSeat(t *testing.T) {
 	is := is.New(t)
 	r := newReign()
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -10,17 +10,18 @@
 	"chicoryturn/io/clock"
 )
 
-// suspended is by how much the clock that counts suspensions may run ahead
-// between a decision and its order: beyond that the order is not sent.
-const suspended = 200 * time.Millisecond
+// orderAge is how long after its decision an order may still be sent, suspensions
+// and stops of the process included: goroutines start within a few ms, and an
+// owner that was stopped may have been replaced.
+const orderAge = 300 * time.Millisecond
 
 // dispatch sends orders, each on a goroutine of its own.
 func (o *Owner) dispatch(orders []board.Order) {
-	skew := clock.Counting() - clock.Steady()
+	decided := clock.Counting()
 	for _, ord := range orders {
 		o.call(func(ctx context.Context) func(*Owner, time.Time) {
 			sent := time.Now()
-			if clock.Counting()-clock.Steady()-skew > suspended {
+			if clock.Counting()-decided > orderAge {
 				return o.answered(ord, sent, board.Lists{}, board.ReplyUnsent, nil)
 			}
 			var lists board.Lists
