New owners start at once what no earlier owner can have started

Change: a VM notes in a job the first owner that may start it: the one it knows of, or the next one if that has resigned. An owner leaves jobs of a later owner alone and gives way; so what names the present owner was started by no earlier one and waits for no worker. An owner that takes its epoch up again relies on nothing. Vault.Accept returns the job as recorded, since a repeated call may name a later owner (and tell other phases) than the record. Tasks that wait for a worker count towards the team's limit with no more than those workers have room for. Before: TestNewJobsAfterTakeOver, TestAwaitedTasksAndLimit fail.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -61,20 +61,26 @@
 	open map[*unit]struct{}
 	// timed holds the phases of occurrences that are not due yet.
 	timed map[*unit]struct{}
-	// used is what each team holds on workers or may hold on workers that have
-	// not been heard of.
-	used   map[core.Team]core.Resources
+	// used is what each team holds on workers.
+	used map[core.Team]core.Resources
+	// held are the recovered tasks that may run on a worker not heard of yet,
+	// awaited is what those of each team would take.
+	held    map[*Task]struct{}
+	awaited map[core.Team]core.Resources
+	// hidden is the room of the workers that have not been heard of.
+	hidden core.Resources
 	shares map[core.Team]*share
 	// odds tell how many of the workers named for a queue have been allowed.
 	odds map[core.Queue]odds
-	// held are the recovered tasks that may run on a worker not heard of yet.
-	held map[*Task]struct{}
 	// roster numbers the changes of the list of workers.
 	roster uint64
 	// listedAt is when the list of workers was last read.
 	listedAt time.Time
 	// settled is set once every worker of earlier owners has been heard of.
 	settled bool
+	// own is the least epoch that a job must name for no earlier owner, and no
+	// earlier board of this one, to have started any of it.
+	own core.Epoch
 
 	// dirty are the jobs whose progress waits for a record, flying those in the
 	// record whose outcome is not known.
@@ -96,6 +102,8 @@
 	progress bool
 	// missed is set when a worker names a job that the board does not know.
 	missed bool
+	// outdated is set when a job names a later owner.
+	outdated bool
 }
 
 // flown is a job in a record and the state that the record gives it.
@@ -132,14 +140,27 @@
 	return l
 }
 
+// Option changes a board under construction.
+type Option func(*Board)
+
+// Resumed is for an owner that has decided under its epoch before and has
+// forgotten what.
+func Resumed() Option {
+	return func(b *Board) { b.settled, b.own = false, b.epoch+1 }
+}
+
 // New returns an empty board under a new owner's epoch.
-func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy) *Board {
-	return &Board{
-		epoch: epoch, now: now, limits: limits.bounded(), policy: p, guess: cell.NewGuess(),
+func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Board {
+	b := &Board{
+		epoch: epoch, own: epoch, now: now, settled: epoch <= 1, limits: limits.bounded(), policy: p, guess: cell.NewGuess(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{},
 		open: map[*unit]struct{}{}, timed: map[*unit]struct{}{},
-		used: map[core.Team]core.Resources{}, shares: map[core.Team]*share{}, odds: map[core.Queue]odds{}, held: map[*Task]struct{}{}, dirty: map[core.JobID]*Job{},
+		used: map[core.Team]core.Resources{}, shares: map[core.Team]*share{}, odds: map[core.Queue]odds{}, held: map[*Task]struct{}{}, awaited: map[core.Team]core.Resources{}, dirty: map[core.JobID]*Job{},
 	}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
 }
 
 // Epoch returns the owner's epoch.
@@ -192,19 +213,34 @@
 // Accept takes in a job that is in the store. It reports whether it is new.
 func (b *Board) Accept(now time.Time, spec jobs.Spec) bool {
 	b.now = now
-	if b.jobs[spec.ID] != nil {
+	if b.jobs[spec.ID] != nil || b.leave(&spec) {
 		return false
 	}
 	j := b.add(spec)
 	b.adopt(j)
+	b.settle()
 	j.openUnits()
 	return true
 }
 
+// leave reports whether a job is left to a later owner, which relies on no earlier
+// one having started any of it.
+func (b *Board) leave(spec *jobs.Spec) bool {
+	later := spec.From > b.epoch
+	b.outdated = b.outdated || later
+	return later
+}
+
+// Outdated reports whether a job has named a later owner.
+func (b *Board) Outdated() bool { return b.outdated }
+
 // adopt finds what an earlier owner, which may have known the job first, has
 // started of it. Until every worker has been heard of, and has had its ends
-// taken in, it may have run anywhere.
+// taken in, it may have run anywhere, unless its VM knew of this owner before.
 func (b *Board) adopt(j *Job) {
+	if j.ended() || j.Spec.From >= b.own {
+		return
+	}
 	started := !b.settled || b.unheard()
 	for _, w := range b.byName {
 		for id := range w.foreign {
@@ -226,7 +262,6 @@
 			}
 		}
 	}
-	b.settle()
 }
 
 // Missed reports, once, whether a worker has named a job that the board does
@@ -237,25 +272,19 @@
 	return m
 }
 
-// Load takes over the recorded jobs. Unless the owner is the first one, every
-// open task may still run somewhere.
+// Load takes over the recorded jobs. What an earlier owner may have started may
+// still run somewhere.
 func (b *Board) Load(now time.Time, specs []jobs.Spec, progress map[core.JobID]jobs.Progress) {
 	b.now = now
 	slices.SortFunc(specs, func(x, y jobs.Spec) int { return x.Sent.Compare(y.Sent) })
 	for _, s := range specs {
 		p := progress[s.ID]
-		if b.jobs[s.ID] != nil {
+		if b.jobs[s.ID] != nil || b.leave(&s) {
 			continue
 		}
-		b.add(s).restore(&p)
-	}
-	b.settled = b.epoch <= 1
-	for _, j := range b.jobs {
-		if !j.ended() && !b.settled {
-			for _, t := range j.tasks {
-				t.fire(taskRecover)
-			}
-		}
+		j := b.add(s)
+		j.restore(&p)
+		b.adopt(j)
 		j.openUnits()
 		j.settle()
 		if j.state == jobClosed {
@@ -398,6 +427,7 @@
 		return
 	}
 	b.settled = true
+	b.changed = true
 	freed := map[*unit]struct{}{}
 	for t := range b.held {
 		t.fire(taskClear)
@@ -409,11 +439,21 @@
 			u.regroup()
 		}
 	}
-	b.changed = true
 }
 
 // unheard reports whether a worker may run, or may have ended, tasks that the
 // board does not know of.
-func (b *Board) unheard() bool {
-	return slices.ContainsFunc(b.byName, func(w *Worker) bool { return w.state == workerFresh || !w.blocked.IsZero() })
+func (b *Board) unheard() bool { return slices.ContainsFunc(b.byName, (*Worker).unheard) }
+
+func (w *Worker) unheard() bool { return w.state == workerFresh || !w.blocked.IsZero() }
+
+// unheardRoom returns the room of the workers that have not been heard of.
+func (b *Board) unheardRoom() core.Resources {
+	var sum core.Resources
+	for _, w := range b.byName {
+		if w.unheard() {
+			sum = sum.Add(w.host.Room)
+		}
+	}
+	return sum
 }
--- a/core/board/place.go
+++ b/core/board/place.go
@@ -41,6 +41,7 @@
 			u.open()
 		}
 	}
+	b.hidden = b.unheardRoom()
 	b.holds()
 	b.stops()
 	if b.changed {
@@ -172,7 +173,8 @@
 	if t == nil {
 		return true
 	}
-	after := b.used[u.job.Spec.Team]
+	// What an earlier owner may have started fits on the workers not heard of.
+	after := b.used[u.job.Spec.Team].Add(b.awaited[u.job.Spec.Team].Min(b.hidden))
 	for _, d := range [][3]int64{
 		{need.Cores, after.Cores, t.Limit.Cores}, {need.Memory, after.Memory, t.Limit.Memory}, {need.Accel, after.Accel, t.Limit.Accel},
 	} {
--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -294,6 +294,103 @@
 	}
 }
 
+// TestNewJobsAfterTakeOver plays a take-over with a worker that does not answer. Has
+// rows: how a job reaches the new owner, which owner its VM knew of when it took
+// the job, and whether the job starts while the worker is awaited: what an earlier
+// owner cannot have started need not wait.
+func TestNewJobsAfterTakeOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		from   core.Epoch
+		load   bool
+		starts int
+	}{
+		"told, earlier owner known":    {from: 1},
+		"told, this owner known":       {from: 2, starts: 1},
+		"recorded, earlier owner":      {from: 1, load: true},
+		"recorded, this owner":         {from: 2, load: true, starts: 1},
+		"told, of a later owner":       {from: 3},
+		"recorded, of a later owner":   {from: 3, load: true},
+		"recorded by an older version": {load: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(2, 2)
+			d.Recover(d.hosts, nil)
+			old, young := plain("old", 1, false), plain("young", 1, false)
+			old.From, young.From = 1, c.from
+			recorded := []jobs.Spec{old}
+			if c.load {
+				recorded = append(recorded, young)
+			}
+			d.Load(d.now, recorded, nil)
+			d.SetHosts(d.now, d.hosts)
+			d.Known(d.Roster())
+			d.held(d.hosts[0], nil, nil)
+			if !c.load {
+				d.Accept(d.now, young)
+			}
+			starts := d.plan(board.OrderStart)
+			is.Equal(len(starts), c.starts)
+			for _, s := range starts {
+				is.Equal(s.Task.Job, young.ID)
+				is.Equal(s.Worker, d.hosts[0].Worker())
+			}
+			is.Equal(d.Outdated(), c.from > 2)
+			d.begin(starts)
+			d.held(d.hosts[1], nil, nil)
+			if c.from <= 2 {
+				is.Equal(len(d.plan(board.OrderStart)), 2-c.starts) // all has been heard of
+			}
+		})
+	}
+}
+
+// TestResumedBoard plays an owner that has forgotten what it decided under its
+// epoch: nothing is taken for not started.
+func TestResumedBoard(t *testing.T) {
+	for _, epoch := range []core.Epoch{1, 2} {
+		is := is.New(t)
+		d := newDesk(epoch, 2)
+		d.Board = board.New(dawn, epoch, board.Limits{Lease: lease, Remote: 1}, rules(core.Resources{}), board.Resumed())
+		d.Recover(d.hosts, nil)
+		j := plain("j", 1, false)
+		j.From = epoch
+		d.Load(d.now, []jobs.Spec{j}, nil)
+		d.SetHosts(d.now, d.hosts)
+		d.Known(d.Roster())
+		d.held(d.hosts[0], nil, nil)
+		is.Equal(len(d.plan(board.OrderStart)), 0)
+		d.held(d.hosts[1], nil, nil)
+		is.Equal(len(d.plan(board.OrderStart)), 1)
+	}
+}
+
+// TestAwaitedTasksAndLimit plays a take-over with many recorded tasks of a team
+// and one worker that does not answer: they count towards the team's limit with no
+// more than that worker has room for.
+func TestAwaitedTasksAndLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit  int64
+		starts int
+	}{"room beside the worker's": {6000, 2}, "none": {4000, 0}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(2, 3)
+			d.SetPolicy(rules(core.Resources{Cores: c.limit}))
+			d.Recover(d.hosts, nil)
+			old, young := plain("old", 40, false), plain("young", 4, false)
+			young.From = 2
+			d.Load(d.now, []jobs.Spec{old}, nil)
+			d.SetHosts(d.now, d.hosts)
+			d.Known(d.Roster())
+			d.held(d.hosts[0], nil, nil)
+			d.held(d.hosts[1], nil, nil)
+			d.Accept(d.now, young)
+			is.Equal(len(d.plan(board.OrderStart)), c.starts) // the third has room for 4,000
+		})
+	}
+}
+
 // TestGangLacksMember plays a take-over in which one member of a gang runs
 // nowhere: the others are stopped, and the gang starts again as a whole.
 func TestGangLacksMember(t *testing.T) {
--- a/core/board/task.go
+++ b/core/board/task.go
@@ -69,14 +69,17 @@
 	b.held[t] = struct{}{}
 	t.charge = t.unit.need()
 	t.unit.idle--
-	b.take(t.unit.job.Spec.Team, t.charge)
+	team := t.unit.job.Spec.Team
+	b.awaited[team] = b.awaited[team].Add(t.charge)
 }
 
 func (t *Task) unhold() {
 	b := t.unit.job.board
 	delete(b.held, t)
 	t.unit.idle++
-	b.give(t.unit.job.Spec.Team, t.charge)
+	team := t.unit.job.Spec.Team
+	b.awaited[team] = b.awaited[team].Sub(t.charge)
+	b.changed = true
 }
 
 // reserve takes room on the chosen worker and of the team's limit.
--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -76,6 +76,9 @@
 	Every  time.Duration `json:",omitempty"`
 	// Sent is the wall clock of the VM that accepted the job.
 	Sent time.Time
+	// From is the epoch of the first owner that may start any of the job: the VM
+	// that accepted it knew of that owner before it recorded the job.
+	From core.Epoch `json:",omitempty"`
 }
 
 // Check reports why a job cannot be accepted.
--- a/core/mimic/mimic.go
+++ b/core/mimic/mimic.go
@@ -84,6 +84,8 @@
 	Log []*Start
 	// Most is the longest lease.
 	Most time.Duration
+	// Lapsed is when the worker was last without a lease.
+	Lapsed time.Time
 }
 
 // New returns a worker that starts at a time; rate is that of its clock.
@@ -152,6 +154,9 @@
 
 // Settle ends the runs that are over.
 func (w *Worker) Settle() {
+	if w.Clock() > w.until {
+		w.Lapsed = w.now
+	}
 	var left []*run
 	for _, r := range w.active {
 		s := w.tasks.Task(r.key.task)
--- a/core/types.go
+++ b/core/types.go
@@ -75,6 +75,11 @@
 	return Resources{r.Cores - o.Cores, r.Memory - o.Memory, r.Accel - o.Accel}
 }
 
+// Min returns the lesser of r and o in every dimension.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.Cores, o.Cores), min(r.Memory, o.Memory), min(r.Accel, o.Accel)}
+}
+
 // Fits reports whether r is at most o in every dimension.
 func (r Resources) Fits(o Resources) bool {
 	return r.Cores <= o.Cores && r.Memory <= o.Memory && r.Accel <= o.Accel
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,6 +17,7 @@
 	"chicoryturn/core/board"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
+	"chicoryturn/core/reign"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guide"
 )
@@ -33,7 +34,7 @@
 
 // Vault records and reads what lasts.
 type Vault interface {
-	Accept(ctx context.Context, spec jobs.Spec) error
+	Accept(ctx context.Context, spec jobs.Spec) (jobs.Spec, error)
 	Cancel(ctx context.Context, id core.JobID, now time.Time) error
 	State(ctx context.Context, id core.JobID) (jobs.State, error)
 	// Away reports whether the store cannot be reached.
@@ -77,7 +78,9 @@
 	// since the process began: workers that are away may come back.
 	rooms atomic.Pointer[map[core.Service]core.Resources]
 	// roomy is the owner's last hint of the workers that have room.
-	roomy   atomic.Pointer[hint]
+	roomy atomic.Pointer[hint]
+	// owner is the epoch of the first owner that may start what is taken now.
+	owner   atomic.Uint64
 	leaving atomic.Bool
 	// busy counts the calls being answered.
 	busy atomic.Int64
@@ -94,6 +97,16 @@
 	e.roomy.Store(&hint{core.NewSet(ids...), time.Now()})
 }
 
+// SetOwner follows the seat as this VM last saw it. An owner that has resigned
+// starts nothing more.
+func (e *Entry) SetOwner(s reign.Seat) {
+	from := s.Epoch
+	if s.Holder == "" {
+		from++
+	}
+	e.owner.Store(uint64(from))
+}
+
 // New returns an entry without a configuration; it refuses all calls.
 func New(v Vault, l Link, a Adviser, m Meter, log *logrus.Entry) *Entry {
 	return &Entry{vault: v, link: l, adviser: a, meter: m, log: log}
@@ -213,10 +226,12 @@
 			return "", err
 		}
 		early := e.askEarly(&spec)
-		if err := e.vault.Accept(ctx, spec); err != nil {
+		spec.From = core.Epoch(e.owner.Load())
+		recorded, err := e.vault.Accept(ctx, spec)
+		if err != nil {
 			return "", err
 		}
-		e.link.Accepted(spec, early != nil)
+		e.link.Accepted(recorded, early != nil)
 		if early != nil {
 			go func() { e.link.Advised(<-early) }()
 		}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -171,6 +171,7 @@
 // follow joins the owner of the fleet.
 func (n *Node) follow(d *desk, seat reign.Seat, mine bool) {
 	d.mine.Store(mine)
+	n.entry.SetOwner(seat)
 	if mine || seat.Holder == "" {
 		n.link.Follow(link.Target{})
 		return
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -89,7 +89,9 @@
 	policy   *policy.Policy
 	// board is nil unless the process owns the fleet.
 	board *board.Board
-	peers *peers
+	// reigned is the epoch under which the process last had a board.
+	reigned core.Epoch
+	peers   *peers
 	// onSeat is told who owns the fleet, whenever that changes.
 	onSeat   func(s reign.Seat, mine bool)
 	lastSeat reign.Seat
@@ -346,7 +348,9 @@
 		o.log.WithError(e).Error("recorded job left out")
 	}
 	o.newsAfter = max(o.newsAfter, n.Version)
-	o.soon(now)
+	if !o.yields(now) {
+		o.soon(now)
+	}
 }
 
 // tidy deletes the rows of jobs that ended longer ago than clients may ask for
@@ -452,6 +456,9 @@
 			return
 		}
 		o.board.Accept(now, spec)
+		if o.yields(now) {
+			return
+		}
 		if id := (jobs.PhaseID{Job: spec.ID}); asking != "" {
 			cost := o.board.Asking(now, id)
 			if l := o.peers.byName[asking]; l != nil && cost > 0 {
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -12,6 +12,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/board"
+	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
 	"chicoryturn/core/reign"
 	"chicoryturn/io/loop"
@@ -154,6 +155,61 @@
 	is.True(out.asked <= out.loads)
 }
 
+// lagging is a store whose feed names a job of a later owner, while the row still
+// names this one.
+type lagging struct {
+	*outside
+	mu   sync.Mutex
+	seat reign.Seat
+	told int
+}
+
+func (l *lagging) Seat(context.Context) (reign.Look, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return reign.Look{Seat: l.seat, Version: uint64(l.seat.Beat)}, nil
+}
+
+func (l *lagging) Write(_ context.Context, r vault.Record) (table.Done, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seat = r.Seat
+	return table.Done{Version: uint64(r.Seat.Beat)}, nil
+}
+
+func (l *lagging) News(context.Context, uint64) (vault.Recorded, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told++
+	if l.told > 1 {
+		return vault.Recorded{Version: 1}, nil
+	}
+	return vault.Recorded{Version: 1, Specs: []jobs.Spec{{ID: "j", Team: "t", Queue: "q", From: 2, Phases: []jobs.Phase{{Count: 1}}}}}, nil
+}
+
+// TestJobOfLaterOwner has the feed name a job of a later owner: the process gives
+// its board up and reads the seat and the record again.
+func TestJobOfLaterOwner(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := &lagging{outside: &outside{}}
+	o := owner.New(loop.New(ctx), owner.Outside{Vault: l, Workers: l, Hosts: l, Meter: l}, reign.Seat{Holder: "a/1", VM: "a"}, 0,
+		board.Limits{Lease: time.Second, Remote: 1}, log.WithField("part", "owner"))
+	go func() { _ = o.Run() }()
+	o.SetPolicy(policy.New(1, nil, nil, nil, 0))
+	time.Sleep(5 * time.Second)
+	l.outside.mu.Lock()
+	defer l.outside.mu.Unlock()
+	is.Equal(l.loads, 2)
+	_, known, mine, err := o.State(ctx, "j")
+	is.NoErr(err)
+	is.True(mine)
+	is.True(!known)
+}
+
 // renamed stands for a worker whose incarnation is newer than the platform's list
 // tells, and a store that takes its time.
 type renamed struct {
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -127,6 +127,16 @@
 	o.nextLook = now
 }
 
+// yields gives way to a later owner that a job has named, and reports whether it
+// has.
+func (o *Owner) yields(now time.Time) bool {
+	if !o.board.Outdated() {
+		return false
+	}
+	o.deposed(now, "a job names a later owner")
+	return true
+}
+
 // write claims or renews the seat, with the progress that waits.
 func (o *Owner) write(now time.Time) {
 	if o.writing || o.reading || o.leaving || o.reign.Doubt() || now.Before(o.nextWrite) {
@@ -280,7 +290,11 @@
 		return
 	}
 	if o.board == nil {
-		o.board = board.New(now, epoch, o.limits, o.policy)
+		var opts []board.Option
+		if epoch == o.reigned {
+			opts = append(opts, board.Resumed())
+		}
+		o.board, o.reigned = board.New(now, epoch, o.limits, o.policy, opts...), epoch
 		o.board.Recover(rec.Roster, o.absence.Since())
 		o.newRoster, o.rosterVersion = nil, 0
 		o.meter.Own(true)
@@ -289,6 +303,9 @@
 	for _, id := range rec.Cancelled {
 		o.board.Cancel(now, id)
 	}
+	if o.yields(now) {
+		return
+	}
 	if !o.hostsAt.IsZero() {
 		o.board.SetHosts(now, o.listed)
 	}
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -35,7 +35,14 @@
 	// effect until a later write has seen the row.
 	unsure bool
 	began  time.Time
-	done   chan error
+	done   chan verdict
+}
+
+// verdict is the outcome of an acceptance: the job as it is recorded, or why it
+// is not known to be.
+type verdict struct {
+	spec jobs.Spec
+	err  error
 }
 
 // lane holds the jobs that wait for one partition's next write. Most are empty,
@@ -111,28 +118,29 @@
 	return out
 }
 
-// Accept records a job. A nil error means that the job is in the store. A
-// RefusalError with run "no" means that it is not and never will be; one with
-// run "unknown" that it may be.
-func (v *Vault) Accept(ctx context.Context, spec jobs.Spec) error {
+// Accept records a job and returns it as it is in the store, where an earlier
+// call may have recorded it. A RefusalError with run "no" means that it is not
+// there and never will be; one with run "unknown" that it may be.
+func (v *Vault) Accept(ctx context.Context, spec jobs.Spec) (jobs.Spec, error) {
 	put, err := encode(jobKey(spec.ID), spec)
 	if err != nil {
-		return err
+		return spec, err
 	}
 	if len(put.Val) > rowMost {
-		return core.Refuse(core.CodeTooLarge, "the job takes %d bytes in the store, at most %d", len(put.Val), rowMost)
+		return spec, core.Refuse(core.CodeTooLarge, "the job takes %d bytes in the store, at most %d", len(put.Val), rowMost)
 	}
 	if v.Away() {
-		return v.refusal(spec.ID, v.away())
+		return spec, v.refusal(spec.ID, v.away())
 	}
-	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan error, 1)}
+	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan verdict, 1)}
 	if !v.enter(partOf(spec.ID), a) {
 		r := core.Refuse(core.CodeBusy, "%d jobs wait for the store", acceptQueue)
 		r.RetryAfter = time.Second
-		return v.refusal(spec.ID, r)
+		return spec, v.refusal(spec.ID, r)
 	}
 	// The writer always answers, soon after the caller's time is up.
-	return <-a.done
+	out := <-a.done
+	return out.spec, out.err
 }
 
 // writer records what waits in one lane until it is empty.
@@ -172,7 +180,7 @@
 	switch {
 	case err == nil:
 		for _, a := range now {
-			a.done <- nil
+			a.done <- verdict{spec: a.spec}
 		}
 		return later
 	case errors.As(err, &conflict):
@@ -195,15 +203,15 @@
 
 // sameAs compares a job with the one recorded under its name: the same client's
 // repeated call is accepted, another team's is not.
-func (a *acceptance) sameAs(r table.Row) error {
+func (a *acceptance) sameAs(r table.Row) verdict {
 	var s jobs.Spec
 	if err := decode(r, &s); err != nil {
-		return err
+		return verdict{err: err}
 	}
 	if s.Team != a.spec.Team || s.Queue != a.spec.Queue {
-		return core.Refuse(core.CodeConflict, "the name %s belongs to another job", a.spec.ID)
+		return verdict{err: core.Refuse(core.CodeConflict, "the name %s belongs to another job", a.spec.ID)}
 	}
-	return nil
+	return verdict{spec: s}
 }
 
 // expire answers those whose callers have no time left, or whom the store has
@@ -218,11 +226,11 @@
 		}
 		if a.unsure {
 			v.doubt(a.spec.ID)
-			a.done <- core.Unknown(core.CodeStore, a.ctx.Err(), "the store has not confirmed the job")
+			a.done <- verdict{err: core.Unknown(core.CodeStore, a.ctx.Err(), "the store has not confirmed the job")}
 		} else {
 			r := core.Refuse(core.CodeStore, "the store takes no jobs at present")
 			r.RetryAfter = time.Second
-			a.done <- v.refusal(a.spec.ID, r)
+			a.done <- verdict{err: v.refusal(a.spec.ID, r)}
 		}
 	}
 	return out
