--- /dev/null
+++ b/core/board/reborn_test.go
@@ -0,0 +1,119 @@
+package board_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core/board"
+)
+
+func TestRebornWorker(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	old := d.Roster()
+	reborn := d.hosts[0]
+	reborn.Born = d.now
+	d.pass(time.Second)
+	d.held(reborn, nil, nil)
+	d.Accept(d.now, plain("j", 1, false))
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	d.Known(old) // a record that was on its way
+	is.Equal(len(d.plan(board.OrderStart)), 0)
+	d.Known(d.Roster())
+	is.Equal(len(d.plan(board.OrderStart)), 1)
+}
+
+func TestRebornBeforeFirstAnswer(t *testing.T) {
+	for name, listed := range map[string]bool{"told by its answer": false, "told by the list": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(1, 1)
+			d.SetHosts(d.now, d.hosts)
+			d.Known(d.Roster())
+			reborn := d.hosts[0]
+			reborn.Born = d.now
+			d.pass(time.Second)
+			if listed {
+				d.SetHosts(d.now, []board.Host{reborn})
+			}
+			d.held(reborn, nil, nil)
+			d.Accept(d.now, plain("j", 1, false))
+			is.Equal(len(d.plan(board.OrderStart)), 0)
+			is.Equal(d.Roster()[0].Born, reborn.Born)
+			d.Known(d.Roster())
+			is.Equal(len(d.plan(board.OrderStart)), 1)
+		})
+	}
+}
+
+func TestStartOnRebornWorker(t *testing.T) {
+	for name, there := range map[string]bool{"on the new incarnation": true, "on the old one": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(1, 2)
+			d.open()
+			d.Accept(d.now, plain("j", 1, false))
+			s := d.plan(board.OrderStart)[0]
+			d.begin([]board.Order{s})
+			d.pass(100 * time.Millisecond)
+			h := s.Host
+			h.Born = d.now
+			var active []board.Active
+			if there {
+				active = []board.Active{{Task: s.Task, Run: s.Run, Percent: 10}}
+			}
+			d.held(h, active, nil)
+			for _, other := range d.hosts {
+				if other.Worker() != s.Worker {
+					d.held(other, nil, nil)
+				}
+			}
+			is.Equal(len(d.plan(board.OrderStart)) == 0, there)
+			if there {
+				d.pass(time.Second)
+				d.held(h, nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+				is.Equal(len(d.plan(board.OrderStart)), 0)
+				is.Equal(len(d.Batch()), 1) // the job's end
+			}
+		})
+	}
+}
+
+func TestUnansweredStartOnRebornWorker(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 2)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	s := d.plan(board.OrderStart)[0]
+	d.Started(d.now, s.Worker, s.Task, s.Run, board.ReplyNone)
+	is.Equal(len(d.Orders()), 1)                               // a stop
+	d.Stopped(d.now, s.Worker, s.Task, s.Run, board.ReplyDone) // by the old one
+	d.pass(100 * time.Millisecond)
+	h := s.Host
+	h.Born = d.now
+	answer := func() {
+		for _, other := range d.hosts {
+			if other.Worker() != s.Worker {
+				d.held(other, nil, nil)
+			}
+		}
+		d.held(h, nil, nil)
+	}
+	answer()
+	d.Plan(d.now)
+	stops := 0
+	for _, o := range d.Orders() {
+		is.True(o.Kind != board.OrderStart)
+		if o.Kind == board.OrderStop {
+			stops++
+		}
+	}
+	is.Equal(stops, 1)
+	d.Stopped(d.now, s.Worker, s.Task, s.Run, board.ReplyDone)
+	d.pass(100 * time.Millisecond)
+	answer()
+	is.Equal(len(d.plan(board.OrderStart)), 1)
+}
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -77,6 +77,30 @@
 func (*outside) Plan(time.Duration)                 {}
 func (*outside) Own(bool)                           {}
 
+// all is what an owner reaches, by one stand-in.
+type all interface {
+	owner.Vault
+	owner.Workers
+	owner.Hosts
+	owner.Meter
+}
+
+// begin runs an owner until the test ends.
+func begin(t *testing.T, out all, holder core.SessionID, p *policy.Policy) *owner.Owner {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o := owner.New(loop.New(ctx), owner.Outside{Vault: out, Workers: out, Hosts: out, Meter: out}, reign.Seat{Holder: holder, VM: string(holder)}, 0,
+		board.Limits{Lease: 6 * time.Second, Remote: 1}, log.WithField("part", "owner"))
+	go func() { _ = o.Run() }()
+	if p != nil {
+		o.SetPolicy(p)
+	}
+	return o
+}
+
 // row is the seat's row in a store that several VMs reach.
 type row struct {
 	mu      sync.Mutex
@@ -113,19 +137,13 @@
 // little earlier: the near one, whose records take less time, gets it.
 func TestNearestClaims(t *testing.T) {
 	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	r := &row{}
 	for _, vm := range []struct {
 		name string
 		away time.Duration
 	}{{"far", 25 * time.Millisecond}, {"near", 2 * time.Millisecond}} {
 		w := &way{outside: &outside{}, row: r, away: vm.away}
-		o := owner.New(loop.New(ctx), owner.Outside{Vault: w, Workers: w, Hosts: w, Meter: w}, reign.Seat{Holder: core.SessionID(vm.name), VM: vm.name}, 0,
-			board.Limits{Lease: time.Second, Remote: 1}, log.WithField("part", "owner"))
-		go func() { _ = o.Run() }()
+		begin(t, w, core.SessionID(vm.name), nil)
 		time.Sleep(60 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
@@ -138,15 +156,8 @@
 // record: one reading runs at a time, and the feed is not asked meanwhile.
 func TestTrimmedFeed(t *testing.T) {
 	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	out := &outside{}
-	o := owner.New(loop.New(ctx), owner.Outside{Vault: out, Workers: out, Hosts: out, Meter: out}, reign.Seat{Holder: "a/1", VM: "a"}, 0,
-		board.Limits{Lease: time.Second, Remote: 1}, log.WithField("part", "owner"))
-	go func() { _ = o.Run() }()
-	o.SetPolicy(policy.New(1, nil, nil, nil, 0))
+	begin(t, out, "a", policy.New(1, nil, nil, nil, 0))
 	time.Sleep(5 * time.Second)
 	out.mu.Lock()
 	defer out.mu.Unlock()
@@ -191,20 +202,13 @@
 // its board up and reads the seat and the record again.
 func TestJobOfLaterOwner(t *testing.T) {
 	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	l := &lagging{outside: &outside{}}
-	o := owner.New(loop.New(ctx), owner.Outside{Vault: l, Workers: l, Hosts: l, Meter: l}, reign.Seat{Holder: "a/1", VM: "a"}, 0,
-		board.Limits{Lease: time.Second, Remote: 1}, log.WithField("part", "owner"))
-	go func() { _ = o.Run() }()
-	o.SetPolicy(policy.New(1, nil, nil, nil, 0))
+	o := begin(t, l, "a", policy.New(1, nil, nil, nil, 0))
 	time.Sleep(5 * time.Second)
 	l.outside.mu.Lock()
 	defer l.outside.mu.Unlock()
 	is.Equal(l.loads, 2)
-	_, known, mine, err := o.State(ctx, "j")
+	_, known, mine, err := o.State(t.Context(), "j")
 	is.NoErr(err)
 	is.True(mine)
 	is.True(!known)
@@ -260,15 +264,8 @@
 // it. A worker that is not recorded is never used.
 func TestRosterChangesDuringWrite(t *testing.T) {
 	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	r := &renamed{outside: &outside{}, first: make(chan struct{})}
-	o := owner.New(loop.New(ctx), owner.Outside{Vault: r, Workers: r, Hosts: r, Meter: r}, reign.Seat{Holder: "a/1", VM: "a"}, 0,
-		board.Limits{Lease: 6 * time.Second, Remote: 1}, log.WithField("part", "owner"))
-	go func() { _ = o.Run() }()
-	o.SetPolicy(policy.New(1, nil, nil, []policy.Service{{Name: "s"}}, 0))
+	begin(t, r, "a", policy.New(1, nil, nil, []policy.Service{{Name: "s"}}, 0))
 	time.Sleep(4 * time.Second)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/vault/vault_test.go
+++ b/io/vault/vault_test.go
@@ -139,7 +139,7 @@
 }
 
 // accept records a job whatever the store holds of it.
-func accept(v *vault.Vault, ctx context.Context, s jobs.Spec) error {
+func accept(ctx context.Context, v *vault.Vault, s jobs.Spec) error {
 	_, err := v.Accept(ctx, s)
 	return err
 }
@@ -149,9 +149,9 @@
 		is := is.New(t)
 		m := newMemory()
 		v := open(t, m)
-		is.NoErr(accept(v, within(t, time.Second), spec("a", "t")))
-		is.NoErr(accept(v, within(t, time.Second), spec("a", "t")))
-		is.Equal(run(accept(v, within(t, time.Second), spec("a", "other"))), core.RunNo)
+		is.NoErr(accept(within(t, time.Second), v, spec("a", "t")))
+		is.NoErr(accept(within(t, time.Second), v, spec("a", "t")))
+		is.Equal(run(accept(within(t, time.Second), v, spec("a", "other"))), core.RunNo)
 		state, err := v.State(context.Background(), "a")
 		is.NoErr(err)
 		is.Equal(state, jobs.Queued)
@@ -161,7 +161,7 @@
 		v := open(t, newMemory())
 		first, again := spec("a", "t"), spec("a", "t")
 		first.From, again.From, again.Text = 3, 4, "other"
-		is.NoErr(accept(v, within(t, time.Second), first))
+		is.NoErr(accept(within(t, time.Second), v, first))
 		recorded, err := v.Accept(within(t, time.Second), again)
 		is.NoErr(err)
 		is.Equal(recorded, first) // owner 3 may have started it
@@ -172,7 +172,7 @@
 		m.set(true, false, false)
 		v := open(t, m)
 		began := time.Now()
-		is.Equal(run(accept(v, within(t, 10*time.Second), spec("a", "t"))), core.RunNo)
+		is.Equal(run(accept(within(t, 10*time.Second), v, spec("a", "t"))), core.RunNo)
 		is.True(time.Since(began) < 2*time.Second)
 		m.set(false, false, false)
 		_, err := v.State(context.Background(), "a")
@@ -187,14 +187,14 @@
 			time.Sleep(300 * time.Millisecond)
 			m.set(false, false, false)
 		}()
-		is.NoErr(accept(v, within(t, 5*time.Second), spec("a", "t")))
+		is.NoErr(accept(within(t, 5*time.Second), v, spec("a", "t")))
 	})
 	t.Run("no answer until the client's time is up", func(t *testing.T) {
 		is := is.New(t)
 		m := newMemory()
 		m.set(false, true, false)
 		v := open(t, m)
-		is.Equal(run(accept(v, within(t, 500*time.Millisecond), spec("a", "t"))), core.RunUnknown)
+		is.Equal(run(accept(within(t, 500*time.Millisecond), v, spec("a", "t"))), core.RunUnknown)
 	})
 	t.Run("an unanswered write is not taken back by a refusal", func(t *testing.T) {
 		is := is.New(t)
@@ -205,7 +205,7 @@
 			time.Sleep(200 * time.Millisecond)
 			m.set(true, false, false)
 		}()
-		is.Equal(run(accept(v, within(t, 1500*time.Millisecond), spec("a", "t"))), core.RunUnknown)
+		is.Equal(run(accept(within(t, 1500*time.Millisecond), v, spec("a", "t"))), core.RunUnknown)
 	})
 }
 
@@ -219,7 +219,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if err := accept(v, within(t, 5*time.Second), spec(string(rune('a'+i%26))+string(rune('a'+i/26)), "t")); err != nil {
+			if err := accept(within(t, 5*time.Second), v, spec(string(rune('a'+i%26))+string(rune('a'+i/26)), "t")); err != nil {
 				t.Error(err)
 			}
 		}()
@@ -235,8 +235,8 @@
 	ctx := context.Background()
 	m := newMemory()
 	v := open(t, m)
-	is.NoErr(accept(v, ctx, spec("a", "t")))
-	is.NoErr(accept(v, ctx, spec("b", "t")))
+	is.NoErr(accept(ctx, v, spec("a", "t")))
+	is.NoErr(accept(ctx, v, spec("b", "t")))
 	is.NoErr(v.Cancel(ctx, "b", time.Now()))
 	is.NoErr(v.Cancel(ctx, "b", time.Now())) // again
 	is.Equal(run(v.Cancel(ctx, "c", time.Now())), core.RunNo)
@@ -262,7 +262,7 @@
 	is.NoErr(err)
 	is.Equal(look.Seat.Holder, core.SessionID("x"))
 
-	is.NoErr(accept(v, ctx, spec("d", "t")))
+	is.NoErr(accept(ctx, v, spec("d", "t")))
 	news, err := v.News(ctx, rec.Version)
 	is.NoErr(err)
 	is.Equal(len(news.Specs), 1)
@@ -300,7 +300,7 @@
 	}
 	began := time.Now()
 	var r *core.RefusalError
-	is.True(errors.As(accept(v, context.Background(), s), &r))
+	is.True(errors.As(accept(context.Background(), v, s), &r))
 	is.Equal(r.Code, core.CodeTooLarge)
 	is.True(time.Since(began) < 300*time.Millisecond)
 }
@@ -312,7 +312,7 @@
 	m := newMemory()
 	v := open(t, m)
 	for _, id := range []string{"a", "b", "c"} {
-		is.NoErr(accept(v, ctx, spec(id, "t")))
+		is.NoErr(accept(ctx, v, spec(id, "t")))
 	}
 	is.NoErr(v.Cancel(ctx, "b", time.Now()))
 	done, err := v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x"}, Progress: []jobs.Progress{{Job: "a", State: jobs.Completed}, {Job: "b", State: jobs.Cancelled}}})
@@ -333,7 +333,7 @@
 	ctx := context.Background()
 	m := newMemory()
 	v := open(t, m)
-	is.NoErr(accept(v, ctx, spec("a", "t")))
+	is.NoErr(accept(ctx, v, spec("a", "t")))
 	m.mu.Lock()
 	for k := range m.rows {
 		k.Name = "odd"
@@ -363,7 +363,7 @@
 	go func() { _ = v.Run(ctx) }()
 	m.set(false, true, true)
 	unsure := make(chan error, 1)
-	go func() { unsure <- accept(v, ctx, jobs.Spec{ID: "a", Team: "t", Queue: "q"}) }()
+	go func() { unsure <- accept(ctx, v, jobs.Spec{ID: "a", Team: "t", Queue: "q"}) }()
 	for m.count() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -371,10 +371,10 @@
 	var r *core.RefusalError
 	is.True(errors.As(<-unsure, &r))
 	is.Equal(r.Run, core.RunUnknown) // the client asks again under the same name
-	is.True(errors.As(accept(v, ctx, jobs.Spec{ID: "a", Team: "t", Queue: "q"}), &r))
+	is.True(errors.As(accept(ctx, v, jobs.Spec{ID: "a", Team: "t", Queue: "q"}), &r))
 	is.Equal(r.Run, core.RunUnknown) // the first call may still be carried out
 	writes := m.count()
-	is.True(errors.As(accept(v, ctx, jobs.Spec{ID: "b", Team: "t", Queue: "q"}), &r))
+	is.True(errors.As(accept(ctx, v, jobs.Spec{ID: "b", Team: "t", Queue: "q"}), &r))
 	is.Equal(r.Run, core.RunNo)
 	is.Equal(m.count(), writes) // nothing was sent
 	_, err := v.State(ctx, "a")
