A slow store is told from one that turns a VM away

Change: a call that is given up goes on for 3 s; its late answer ends the detour, tells how slow the store is, and answers those whose jobs it recorded. A failure means a detour only if no other call has been answered since it began.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -20,6 +20,9 @@
 	// awayAfter is for how long the table must not have been heard of before calls
 	// to it are taken to be useless: twice the time of an answer when it is slow.
 	awayAfter = time.Second
+	// linger is how long an answer is still listened for when its caller has given
+	// up: it tells a slow table from one that turns this VM away.
+	linger = 3 * time.Second
 )
 
 // Carrier has another VM carry out a call. The error is a RelayError if none
@@ -39,6 +42,8 @@
 	// until is how long calls take the detour; it is zero while direct calls
 	// are answered.
 	until time.Time
+	// dealt is when the table last dealt with a direct call.
+	dealt time.Time
 	// answered is when the table was last heard of on either way, failing the
 	// start of the first call since then that had no answer.
 	answered, failing time.Time
@@ -104,14 +109,17 @@
 	return true, true
 }
 
-// learn takes in the result of a direct call.
-func (s *Store) learn(err error) {
+// learn takes in the result of a direct call that began at a time. A failure shows
+// nothing if the table has dealt with another call since then: it is slow, or
+// refuses some calls of every VM.
+func (s *Store) learn(began time.Time, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if turnedAway(err) {
+	switch {
+	case !turnedAway(err):
+		s.until, s.dealt = time.Time{}, s.clock()
+	case !s.dealt.After(began):
 		s.until = s.clock().Add(detour)
-	} else {
-		s.until = time.Time{}
 	}
 }
 
@@ -165,15 +173,39 @@
 	return o
 }
 
-// try makes a direct call; a trial read gives up early.
+// try makes a direct call; a trial read gives up early. A call that is given up
+// goes on for a while, so that a late answer ends the detour.
 func (s *Store) try(ctx context.Context, c table.Call, trial bool) table.Outcome {
 	if trial && c.Write == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, quick)
 		defer cancel()
 	}
-	o := table.Do(ctx, s.direct, c)
-	s.learn(o.Err())
+	long, cancel := context.WithTimeout(context.WithoutCancel(ctx), linger)
+	began := s.clock()
+	out := make(chan table.Outcome, 1)
+	go func() {
+		defer cancel()
+		o := table.Do(long, s.direct, c)
+		late := ctx.Err() != nil
+		out <- o
+		if late && !turnedAway(o.Err()) {
+			s.learn(began, nil)
+			s.heard(began, o)
+			table.Late(ctx, s.clock().Sub(began), o)
+		}
+	}()
+	var o table.Outcome
+	select {
+	case o = <-out:
+	case <-ctx.Done():
+		o = table.Outcome{Down: ctx.Err().Error()}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// The caller has left.
+			cancel()
+		}
+	}
+	s.learn(began, o.Err())
 	return o
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -132,6 +133,86 @@
 	})
 }
 
+// slow is a table that takes its time.
+type slow struct {
+	fake
+	mu    sync.Mutex
+	takes time.Duration
+}
+
+func (s *slow) Write(ctx context.Context, t table.Txn) (table.Done, error) {
+	select {
+	case <-time.After(s.takes):
+	case <-ctx.Done():
+		return table.Done{}, &table.DownError{Err: ctx.Err()}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fake.Write(ctx, t)
+}
+
+// TestSlowTable plays a table that answers a write after its caller has given up:
+// the late answer ends the detour, and the caller learns how long it took.
+func TestSlowTable(t *testing.T) {
+	is := is.New(t)
+	direct, there := &slow{takes: 300 * time.Millisecond}, &other{table: &fake{}}
+	s := relay.New(direct, there)
+	late := make(chan time.Duration, 1)
+	ctx, cancel := context.WithTimeout(table.WithLate(context.Background(), func(took time.Duration, _ table.Outcome) { late <- took }), 100*time.Millisecond)
+	defer cancel()
+	_, err := s.Write(ctx, table.Txn{})
+	var d *table.DownError
+	is.True(errors.As(err, &d))
+	select {
+	case took := <-late:
+		is.True(took >= direct.takes)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the late answer was not told")
+	}
+	_, err = s.Write(context.Background(), table.Txn{})
+	is.NoErr(err)
+	is.Equal(there.table.calls, 0)
+}
+
+// TestBusyPartition plays a table that refuses one call while it answers others:
+// that call alone takes the detour.
+func TestBusyPartition(t *testing.T) {
+	is := is.New(t)
+	direct, there := &slow{takes: 300 * time.Millisecond}, &other{table: &fake{version: 7}}
+	s := relay.New(direct, there)
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.Write(context.Background(), table.Txn{})
+		done <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	_, err := s.Read(context.Background(), table.Range{})
+	is.NoErr(err)
+	direct.mu.Lock()
+	direct.err = &table.RefusedError{Status: 429}
+	direct.mu.Unlock()
+	is.NoErr(<-done)
+	direct.mu.Lock()
+	direct.err = nil
+	direct.mu.Unlock()
+	_, err = s.Read(context.Background(), table.Range{})
+	is.NoErr(err)
+	is.Equal(there.table.calls, 1)
+}
+
+// TestCallerLeaves plays a caller that leaves: its call ends with it.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	direct := &slow{takes: time.Hour}
+	s := relay.New(direct, &other{table: &fake{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	began := time.Now()
+	_, err := s.Write(ctx, table.Txn{})
+	is.True(err != nil)
+	is.True(time.Since(began) < time.Second)
+}
+
 // TestAway tells a table that cannot be reached from one that refuses, and
 // notices at once when it answers again.
 func TestAway(t *testing.T) {
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -35,7 +36,16 @@
 	// effect until a later write has seen the row.
 	unsure bool
 	began  time.Time
-	done   chan verdict
+	// told is set once the caller has been answered; done holds the answer.
+	told atomic.Bool
+	done chan verdict
+}
+
+// tell answers the caller, once.
+func (a *acceptance) tell(v verdict) {
+	if !a.told.Swap(true) {
+		a.done <- v
+	}
 }
 
 // verdict is the outcome of an acceptance: the job as it is recorded, or why it
@@ -166,6 +176,9 @@
 	named := map[string]bool{}
 	var now, later []*acceptance
 	for _, a := range waiting {
+		if a.told.Load() {
+			continue
+		}
 		if named[a.put.Name] {
 			later = append(later, a)
 			continue
@@ -175,18 +188,23 @@
 		t.Checks = append(t.Checks, table.Check{Key: a.put.Key})
 		t.Puts = append(t.Puts, a.put)
 	}
-	_, err := v.write(ctx, t)
+	if len(now) == 0 {
+		return nil
+	}
+	_, err := v.write(table.WithLate(ctx, func(_ time.Duration, o table.Outcome) {
+		if o.Err() == nil {
+			recorded(now)
+		}
+	}), t)
 	var conflict *table.ConflictError
 	switch {
 	case err == nil:
-		for _, a := range now {
-			a.done <- verdict{spec: a.spec}
-		}
+		recorded(now)
 		return later
 	case errors.As(err, &conflict):
 		for _, a := range now {
 			if r, ok := conflict.Find(a.put.Key); ok {
-				a.done <- a.sameAs(r)
+				a.tell(a.sameAs(r))
 			} else {
 				later = append(later, a)
 			}
@@ -201,6 +219,13 @@
 	return append(now, later...)
 }
 
+// recorded answers callers whose jobs are in the store.
+func recorded(list []*acceptance) {
+	for _, a := range list {
+		a.tell(verdict{spec: a.spec})
+	}
+}
+
 // sameAs compares a job with the one recorded under its name: the same client's
 // repeated call is accepted, another team's is not.
 func (a *acceptance) sameAs(r table.Row) verdict {
@@ -219,6 +244,9 @@
 func (v *Vault) expire(waiting []*acceptance, all, away bool) []*acceptance {
 	var out []*acceptance
 	for _, a := range waiting {
+		if a.told.Load() {
+			continue
+		}
 		over := all || away || a.ctx.Err() != nil || !a.unsure && time.Since(a.began) > refusedMost
 		if !over {
 			out = append(out, a)
@@ -226,11 +254,11 @@
 		}
 		if a.unsure {
 			v.doubt(a.spec.ID)
-			a.done <- verdict{err: core.Unknown(core.CodeStore, a.ctx.Err(), "the store has not confirmed the job")}
+			a.tell(verdict{err: core.Unknown(core.CodeStore, a.ctx.Err(), "the store has not confirmed the job")})
 		} else {
 			r := core.Refuse(core.CodeStore, "the store takes no jobs at present")
 			r.RetryAfter = time.Second
-			a.done <- verdict{err: v.refusal(a.spec.ID, r)}
+			a.tell(verdict{err: v.refusal(a.spec.ID, r)})
 		}
 	}
 	return out
--- a/io/vault/pace.go
+++ b/io/vault/pace.go
@@ -16,8 +16,14 @@
 	// for its answer.
 	paceFactor = 6
 	paceGrace  = 200 * time.Millisecond
-	// paceMost bounds it: a slow store takes some 0.65 s for a write.
+	// paceMost bounds it while calls go without answer: a slow store takes some
+	// 0.65 s for a write.
 	paceMost = 1300 * time.Millisecond
+	// slowFactor times the mean, and paceGrace more, up to slowMost, is what a call
+	// waits at least: a slow store answers a partition's writes one after another,
+	// and a write that is made again queues behind the first. Clients wait some 3 s.
+	slowFactor = 3
+	slowMost   = 3 * time.Second
 	// readTries is how often a read without answer is made.
 	readTries = 3
 )
@@ -35,7 +41,8 @@
 func (p *pace) limit() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return min((paceFactor*p.mean+paceGrace)<<p.slack, paceMost)
+	patient := min(slowFactor*p.mean+paceGrace, slowMost)
+	return max(min((paceFactor*p.mean+paceGrace)<<p.slack, paceMost), patient)
 }
 
 // learn takes in one call.
@@ -51,8 +58,10 @@
 	p.mean += time.Duration(paceGain * float64(took-p.mean))
 }
 
-// do makes one call within the limit.
+// do makes one call within the limit. An answer that comes later still tells how
+// slow the store is.
 func (p *pace) do(ctx context.Context, call func(ctx context.Context) error) error {
+	ctx = table.WithLate(ctx, func(took time.Duration, _ table.Outcome) { p.learn(took, nil) })
 	ctx, cancel := context.WithTimeout(ctx, p.limit())
 	defer cancel()
 	began := time.Now()
