All VMs killed while the store is away: sooner back when it returns

The configuration, asked for at 36.75 s, was waited for until 38.25 s, on every VM; the owner threw its reading of the record away because no configuration was known, and owned from 39.2 s on. The owner keeps what it has read until the configuration comes. Before: TestLatePolicy fails.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -27,6 +27,7 @@
 	"chicoryturn/io/link"
 	"chicoryturn/io/loop"
 	"chicoryturn/io/owner"
+	"chicoryturn/io/pace"
 	"chicoryturn/io/proc"
 	"chicoryturn/io/relay"
 	"chicoryturn/io/spool"
@@ -134,7 +135,8 @@
 	n.guide = guide.New(p.Advice)
 	d := &desk{vm: s.VM}
 	store := relay.New(p.Store, d)
-	n.vault, n.lists = vault.New(store, vault.WithReach(store)), p.Lists(store)
+	// The lists are larger than what the vault reads, and paced by themselves.
+	n.vault, n.lists = vault.New(pace.New(store), vault.WithReach(store)), p.Lists(pace.New(store))
 	n.entry = entry.New(n.vault, d, n.guide, gauge{}, n.part("entry"))
 	n.session = session(s.VM)
 	me := reign.Seat{Holder: n.session, VM: s.VM, Addr: s.Peers}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -105,6 +105,9 @@
 	nextLook, nextHosts, nextNews                time.Time
 	nextWrite, nextPlan, nextHint                time.Time
 	wroteAt                                      time.Time
+	// unruled is a record that has been read before any configuration was known, nil
+	// if there is none.
+	unruled *reading
 	// nextTidy is when ended jobs are looked for; drops are those whose progress
 	// the next record deletes.
 	nextTidy  time.Time
@@ -385,6 +388,9 @@
 func (o *Owner) SetPolicy(p *policy.Policy) {
 	o.post(func(o *Owner, now time.Time) {
 		o.policy = p
+		if r := o.unruled; r != nil {
+			o.loaded(now, *r)
+		}
 		if o.board != nil {
 			o.board.SetPolicy(p)
 			o.soon(now)
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -166,6 +166,28 @@
 	is.True(out.asked <= out.loads)
 }
 
+// calm is a store in which nothing happens.
+type calm struct{ *outside }
+
+func (calm) News(context.Context, uint64) (vault.Recorded, error) { return vault.Recorded{}, nil }
+
+// TestLatePolicy has the configuration come after the record has been read: the
+// owner decides at once, by that reading.
+func TestLatePolicy(t *testing.T) {
+	is := is.New(t)
+	out := &outside{}
+	o := begin(t, calm{out}, "a", nil)
+	time.Sleep(2500 * time.Millisecond) // a claim and one reading
+	o.SetPolicy(policy.New(1, nil, nil, nil, 0))
+	time.Sleep(100 * time.Millisecond)
+	_, _, mine, err := o.State(t.Context(), "j")
+	is.NoErr(err)
+	is.True(mine)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	is.Equal(out.loads, 1)
+}
+
 // lagging is a store whose feed names a job of a later owner, while the row still
 // names this one.
 type lagging struct {
@@ -217,7 +239,7 @@
 // renamed stands for a worker whose incarnation is newer than the platform's list
 // tells, and a store that takes its time.
 type renamed struct {
-	*outside
+	calm
 	mu      sync.Mutex
 	version uint64
 	rosters [][]board.Host
@@ -243,8 +265,6 @@
 	return board.Lists{Clock: time.Second, Born: reborn}, board.ReplyDone, nil
 }
 
-func (*renamed) News(context.Context, uint64) (vault.Recorded, error) { return vault.Recorded{}, nil }
-
 func (r *renamed) Write(_ context.Context, rec vault.Record) (table.Done, error) {
 	if rec.Roster != nil {
 		r.once.Do(func() { close(r.first) })
@@ -264,7 +284,7 @@
 // it. A worker that is not recorded is never used.
 func TestRosterChangesDuringWrite(t *testing.T) {
 	is := is.New(t)
-	r := &renamed{outside: &outside{}, first: make(chan struct{})}
+	r := &renamed{calm: calm{&outside{}}, first: make(chan struct{})}
 	begin(t, r, "a", policy.New(1, nil, nil, []policy.Service{{Name: "s"}}, 0))
 	time.Sleep(4 * time.Second)
 	r.mu.Lock()
--- a/io/owner/seat.go
+++ b/io/owner/seat.go
@@ -260,11 +260,18 @@
 				o.loadLater()
 				return
 			}
-			o.loaded(now, epoch, rec, took)
+			o.loaded(now, reading{epoch, rec, took})
 		}
 	})
 }
 
+// reading is all that is recorded, as an owner under an epoch has read it.
+type reading struct {
+	epoch core.Epoch
+	rec   *vault.Recorded
+	took  time.Duration
+}
+
 // loadLater repeats a failed load.
 func (o *Owner) loadLater() {
 	o.call(func(ctx context.Context) func(*Owner, time.Time) {
@@ -279,14 +286,19 @@
 	})
 }
 
-func (o *Owner) loaded(now time.Time, epoch core.Epoch, rec *vault.Recorded, took time.Duration) {
+func (o *Owner) loaded(now time.Time, r reading) {
+	o.unruled = nil
+	epoch, rec := r.epoch, r.rec
+	if seat, _ := o.reign.Seat(); !o.reign.Mine() || seat.Epoch != epoch {
+		return
+	}
 	for _, e := range rec.Unread {
 		o.log.WithError(e).Error("recorded row left out")
 	}
 	if o.policy == nil {
-		// Without a configuration nothing can be decided; the policy comes from
-		// the same store.
-		o.loadLater()
+		// Without a configuration nothing can be decided. What is recorded
+		// meanwhile comes with the news.
+		o.unruled = &r
 		return
 	}
 	if o.board == nil {
@@ -313,7 +325,7 @@
 	o.newsAfter = rec.Version
 	o.nextHosts, o.nextNews, o.nextPlan = now, now, now
 	o.reign.Loaded()
-	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(rec.Specs), "workers": len(o.listed), "took": took.Round(time.Millisecond).String()}).Info("owning the fleet")
+	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(rec.Specs), "workers": len(o.listed), "took": r.took.Round(time.Millisecond).String()}).Info("owning the fleet")
 	o.onSeat(o.lastSeat, true)
 }
 
--- a/io/vault/pace.go
+++ b/io/pace/pace.go
@@ -1,4 +1,6 @@
-package vault
+// Package pace bounds calls of the platform's table by how long its answers take, so
+// that a lost one is noticed soon and a slow one is waited for.
+package pace
 
 import (
 	"context"
@@ -28,8 +30,16 @@
 	readTries = 3
 )
 
-// pace learns how long the store's answers take, so that a lost one is noticed
-// soon and a slow one is waited for.
+// Store is a table whose calls are bounded. It implements table.Doer.
+type Store struct {
+	table       table.Doer
+	write, read pace
+}
+
+// New returns a table with bounded calls.
+func New(t table.Doer) *Store { return &Store{table: t} }
+
+// pace learns how long one kind of call takes.
 type pace struct {
 	mu   sync.Mutex
 	mean time.Duration
@@ -70,20 +80,20 @@
 	return err
 }
 
-// write applies a transaction; without an answer its outcome is not known.
-func (v *Vault) write(ctx context.Context, t table.Txn) (done table.Done, err error) {
-	err = v.writePace.do(ctx, func(ctx context.Context) error {
-		done, err = v.store.Write(ctx, t)
+// Write applies a transaction; without an answer its outcome is not known.
+func (s *Store) Write(ctx context.Context, t table.Txn) (done table.Done, err error) {
+	err = s.write.do(ctx, func(ctx context.Context) error {
+		done, err = s.table.Write(ctx, t)
 		return err
 	})
 	return done, err
 }
 
-// read reads a range, again if there is no answer.
-func (v *Vault) read(ctx context.Context, r table.Range) (page table.Page, err error) {
+// Read reads a range, again if there is no answer.
+func (s *Store) Read(ctx context.Context, r table.Range) (page table.Page, err error) {
 	for range readTries {
-		err = v.readPace.do(ctx, func(ctx context.Context) error {
-			page, err = v.store.Read(ctx, r)
+		err = s.read.do(ctx, func(ctx context.Context) error {
+			page, err = s.table.Read(ctx, r)
 			return err
 		})
 		var down *table.DownError
@@ -93,3 +103,8 @@
 	}
 	return page, err
 }
+
+// Feed waits for changes for as long as it is told to.
+func (s *Store) Feed(ctx context.Context, f table.Since) (table.Changes, error) {
+	return s.table.Feed(ctx, f)
+}
--- a/io/vault/pace_test.go
+++ b/io/pace/pace_test.go
@@ -1,4 +1,4 @@
-package vault_test
+package pace_test
 
 import (
 	"context"
@@ -10,13 +10,12 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core/reign"
+	"chicoryturn/io/pace"
 	"chicoryturn/io/table"
-	"chicoryturn/io/vault"
 )
 
 // slow is a table whose answers take a while, or do not come at all.
 type slow struct {
-	*memory
 	takes atomic.Int64
 	lose  atomic.Bool
 }
@@ -34,18 +33,22 @@
 	}
 }
 
-func (s *slow) Write(ctx context.Context, t table.Txn) (table.Done, error) {
+func (s *slow) Write(ctx context.Context, _ table.Txn) (table.Done, error) {
 	if err := s.wait(ctx); err != nil {
 		return table.Done{}, err
 	}
-	return s.memory.Write(ctx, t)
+	return table.Done{}, nil
 }
 
-func (s *slow) Read(ctx context.Context, r table.Range) (table.Page, error) {
+func (s *slow) Read(ctx context.Context, _ table.Range) (table.Page, error) {
 	if err := s.wait(ctx); err != nil {
 		return table.Page{}, err
 	}
-	return s.memory.Read(ctx, r)
+	return table.Page{}, nil
+}
+
+func (s *slow) Feed(context.Context, table.Since) (table.Changes, error) {
+	return table.Changes{}, nil
 }
 
 // TestPace plays lost answers of a quick store, which are noticed well within
@@ -54,15 +57,11 @@
 func TestPace(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	s := &slow{memory: newMemory()}
+	s := &slow{}
 	s.takes.Store(int64(10 * time.Millisecond))
-	v := vault.New(s)
-	version := uint64(0)
+	p := pace.New(s)
 	write := func() error {
-		done, err := v.Write(ctx, vault.Record{Seat: reign.Seat{Holder: "x"}, Version: version})
-		if err == nil {
-			version = done.Version
-		}
+		_, err := p.Write(ctx, table.Txn{})
 		return err
 	}
 	for range 5 {
@@ -83,6 +82,6 @@
 		is.True(tries < 5)
 	}
 	is.NoErr(write()) // and goes on being waited for
-	_, err := v.Seat(ctx)
+	_, err := p.Read(ctx, table.Range{})
 	is.NoErr(err) // a read is made again by itself
 }
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -191,7 +191,7 @@
 	if len(now) == 0 {
 		return nil
 	}
-	_, err := v.write(table.WithLate(ctx, func(_ time.Duration, o table.Outcome) {
+	_, err := v.store.Write(table.WithLate(ctx, func(_ time.Duration, o table.Outcome) {
 		if o.Err() == nil {
 			recorded(now)
 		}
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -66,8 +66,6 @@
 type Vault struct {
 	store table.Doer
 	reach Reach
-	// writePace and readPace learn how long the store's answers take.
-	writePace, readPace pace
 
 	// starts names the partitions whose writers must begin.
 	starts chan int
@@ -168,7 +166,7 @@
 
 // look reads one row, and the store's clock.
 func (v *Vault) look(ctx context.Context, k table.Key) (table.Row, time.Duration, error) {
-	p, err := v.read(ctx, table.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x01", Limit: 1})
+	p, err := v.store.Read(ctx, table.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x01", Limit: 1})
 	if err != nil || len(p.Rows) == 0 {
 		return table.Row{}, p.Now, err
 	}
@@ -223,7 +221,7 @@
 	for _, id := range r.Drops {
 		t.Drops = append(t.Drops, progressKey(id))
 	}
-	return v.write(ctx, t)
+	return v.store.Write(ctx, t)
 }
 
 // Delete deletes the rows of jobs that nobody may ask for any more, but for
@@ -239,7 +237,7 @@
 		byPart[p].Drops = append(byPart[p].Drops, jobKey(id), cancelKey(id))
 	}
 	for _, t := range byPart {
-		if _, err := v.write(ctx, *t); err != nil {
+		if _, err := v.store.Write(ctx, *t); err != nil {
 			return err
 		}
 	}
@@ -312,7 +310,7 @@
 
 // roster reads the list of workers in use.
 func (v *Vault) roster(ctx context.Context) ([]board.Host, error) {
-	p, err := v.read(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"})
+	p, err := v.store.Read(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"})
 	if err != nil {
 		return nil, err
 	}
@@ -361,7 +359,7 @@
 func (v *Vault) scan(ctx context.Context, in table.Range, each func(table.Row)) (uint64, error) {
 	first := uint64(0)
 	for {
-		p, err := v.read(ctx, in)
+		p, err := v.store.Read(ctx, in)
 		if err != nil {
 			return 0, err
 		}
@@ -438,7 +436,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = v.write(ctx, table.Txn{Checks: []table.Check{{Key: cancelKey(id)}}, Puts: []table.Put{put}})
+	_, err = v.store.Write(ctx, table.Txn{Checks: []table.Check{{Key: cancelKey(id)}}, Puts: []table.Put{put}})
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		// The row exists: the job has been cancelled before.
--- a/io/vault/vault_test.go
+++ b/io/vault/vault_test.go
@@ -17,6 +17,7 @@
 	"chicoryturn/core/board"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/reign"
+	"chicoryturn/io/pace"
 	"chicoryturn/io/table"
 	"chicoryturn/io/vault"
 )
@@ -186,7 +187,7 @@
 func TestSlowStore(t *testing.T) {
 	is := is.New(t)
 	c := &crawl{memory: newMemory(), named: map[string]int{}, takes: 1400 * time.Millisecond}
-	v := vault.New(c)
+	v := vault.New(pace.New(c))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = v.Run(ctx) }()
