VMs ask early only if their own turn at the placement policy comes soon

Cause: a VM asked for the first phase of a job it took whenever no call waited, also behind one of 0.4 s to 1 s under way; the owner then waited for that answer. Change: the guide tells how long a call would wait, the one under way included; beyond 30 ms the owner asks through an idle VM. Before: TestDelay does not compile (new call); TestEarlyAdvice fails on the new row.

--- a/io/entry/early_test.go
+++ b/io/entry/early_test.go
@@ -41,6 +41,9 @@
 	first, second := submit("a"), submit("b")
 	is.True(len(first) >= 8 && len(first) <= 20)
 	is.True(fmt.Sprint(first) != fmt.Sprint(second)) // jobs do not crowd on some workers
+	o.delay = 600 * time.Millisecond
+	is.Equal(len(submit("busy")), 0) // another VM answers sooner
+	o.delay = 0
 	e.SetRoomy([]core.WorkerID{"w300", "w200"})
 	is.Equal(len(submit("c")), 2)
 	e.SetRoomy(nil)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -26,6 +26,9 @@
 	// shortCall is the length up to which the VM that has taken a job asks for
 	// advice itself, while the job is being recorded.
 	shortCall = 50 * time.Millisecond
+	// shortDelay is up to which delay by calls before it a VM's own call is worth
+	// making: the owner's way to an idle VM takes as long.
+	shortDelay = 30 * time.Millisecond
 	// againSoon is when a client that was refused should come back.
 	againSoon = time.Second
 	// cancelRetry is the pause before a cancellation is recorded again.
@@ -55,7 +58,8 @@
 // Adviser asks the placement policy.
 type Adviser interface {
 	Ask(a board.Ask, then func(guide.Result))
-	Waiting() int
+	// Delay returns how long a call would wait for those before it.
+	Delay() time.Duration
 }
 
 // Meter takes in what operators want to see.
@@ -265,7 +269,7 @@
 		return nil
 	}
 	a, ok := q.Advice.Get()
-	if !ok || e.adviser.Waiting() > 0 {
+	if !ok || e.adviser.Delay() > shortDelay {
 		return nil
 	}
 	room := e.roomy.Load()
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -31,6 +31,8 @@
 	asks   []board.Ask
 	// from are the owners that the accepted jobs name.
 	from []core.Epoch
+	// delay is that of calls to the placement policy.
+	delay time.Duration
 	// away is set while the store cannot be reached.
 	away bool
 }
@@ -85,7 +87,7 @@
 	then(guide.Result{Ask: a})
 }
 
-func (o *outside) Waiting() int { return 0 }
+func (o *outside) Delay() time.Duration { return o.delay }
 
 func (o *outside) Call(string, string, time.Duration) {}
 
--- a/io/guide/guide.go
+++ b/io/guide/guide.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"chicoryturn/core"
@@ -52,22 +53,53 @@
 type Guide struct {
 	policy Policy
 	calls  chan entry
+
+	// mu guards the expected length of the calls that wait and of the one under
+	// way, and when that began; it is zero if there is none.
+	mu           sync.Mutex
+	waiting, now time.Duration
+	began        time.Time
 }
 
 // New returns a guide; Run makes its calls.
-func New(p Policy) *Guide { return &Guide{p, make(chan entry, queue)} }
+func New(p Policy) *Guide { return &Guide{policy: p, calls: make(chan entry, queue)} }
 
 // Ask queues a call; then gets its result on another goroutine.
 func (g *Guide) Ask(a board.Ask, then func(Result)) {
-	select {
-	case g.calls <- entry{a, then}:
-	default:
+	g.mu.Lock()
+	full := len(g.calls) == cap(g.calls)
+	if !full {
+		g.waiting += a.Cost
+		g.calls <- entry{a, then}
+	}
+	g.mu.Unlock()
+	if full {
 		then(Result{Ask: a, Err: &FullError{}})
 	}
 }
 
-// Waiting returns how many calls wait.
-func (g *Guide) Waiting() int { return len(g.calls) }
+// Delay returns how long a call would wait for those before it.
+func (g *Guide) Delay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.began.IsZero() {
+		return g.waiting
+	}
+	return g.waiting + max(g.now-time.Since(g.began), 0)
+}
+
+func (g *Guide) begin(a board.Ask) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting -= a.Cost
+	g.now, g.began = a.Cost, time.Now()
+}
+
+func (g *Guide) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now, g.began = 0, time.Time{}
+}
 
 // Run makes the calls until the context ends.
 func (g *Guide) Run(ctx context.Context) error {
@@ -76,7 +108,10 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-g.calls:
-			e.then(g.call(ctx, e.ask))
+			g.begin(e.ask)
+			r := g.call(ctx, e.ask)
+			g.end()
+			e.then(r)
 		}
 	}
 }
--- a/io/guide/guide_test.go
+++ b/io/guide/guide_test.go
@@ -54,5 +54,24 @@
 		})
 	}
 	is.Equal(failed, 70)
-	is.Equal(g.Waiting(), 30)
+}
+
+// TestDelay has calls under way and waiting: a further one would wait for both.
+func TestDelay(t *testing.T) {
+	is := is.New(t)
+	g := guide.New(policy{time.Second})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	is.Equal(g.Delay(), time.Duration(0))
+	done := make(chan guide.Result, 2)
+	for range 2 {
+		g.Ask(board.Ask{Cost: time.Second}, func(r guide.Result) { done <- r })
+	}
+	is.Equal(g.Delay(), 2*time.Second)
+	go func() { _ = g.Run(ctx) }()
+	time.Sleep(500 * time.Millisecond)
+	is.True(g.Delay() > 1200*time.Millisecond && g.Delay() < 1700*time.Millisecond)
+	<-done
+	<-done
+	is.Equal(g.Delay(), time.Duration(0))
 }
