--- a/core/board/reborn_test.go
+++ b/core/board/reborn_test.go
@@ -117,3 +117,26 @@
 	answer()
 	is.Equal(len(d.plan(board.OrderStart)), 1)
 }
+
+// TestStaleAcknowledgement plays ends that are recorded a while after they were
+// listed: the worker may have started again meanwhile, and numbers its ends anew.
+// It must not be told to forget ends by the old numbers.
+func TestStaleAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, 1)
+	d.open()
+	d.Accept(d.now, plain("j", 1, false))
+	s := d.plan(board.OrderStart)[0]
+	d.begin([]board.Order{s})
+	d.pass(time.Second)
+	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+	is.Equal(len(d.Batch()), 1)
+	is.Equal(len(d.plan(board.OrderHold)), 0)
+	d.pass(time.Second)
+	d.Recorded(d.now)
+	holds := d.plan(board.OrderHold)
+	is.Equal(len(holds), 1)
+	is.Equal(holds[0].Seen, uint64(0)) // it has not been heard of for a second
+	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+	is.Equal(d.plan(board.OrderHold)[0].Seen, uint64(1))
+}
