Reading the change again: one Max of resources, less state in the guide

What was written twice is one now: the greater of two resources (core/cell had its own, too), forgetting the oldest ended job, the end of a run and an owner of the seat in tests, and the time after which the vault has clients come back, a literal in two places. The guide needs no mark for an idle turn: a call of no length has nothing left. The room of workers not heard of is added up only while tasks wait for them, not with every plan. A comment on early calls follows the code. Behaviour is as before.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -67,7 +67,8 @@
 	// awaited is what those of each team would take.
 	held    map[*Task]struct{}
 	awaited map[core.Team]core.Resources
-	// hidden is the room of the workers that have not been heard of.
+	// hidden is the room of the workers that have not been heard of; it is kept up
+	// to date while tasks are held.
 	hidden core.Resources
 	shares map[core.Team]*share
 	// odds tell how many of the workers named for a queue have been allowed.
@@ -367,19 +368,24 @@
 	b.flying = nil
 	b.confirmed = b.mark
 	for len(b.closed) > closedJobs {
-		b.forget(b.closed[0].job)
-		b.closed = b.closed[1:]
+		b.forgetOldest()
 	}
 }
 
+// forgetOldest forgets the job that ended first, and returns its name.
+func (b *Board) forgetOldest() core.JobID {
+	id := b.closed[0].job
+	b.closed = b.closed[1:]
+	b.forget(id)
+	return id
+}
+
 // Expired returns, and forgets, jobs that have ended longer ago than clients may
 // ask for them; their rows can be deleted. It returns at most a number of them.
 func (b *Board) Expired(now time.Time, keep time.Duration, most int) []core.JobID {
 	var out []core.JobID
 	for len(b.closed) > 0 && len(out) < most && now.Sub(b.closed[0].at) > keep {
-		out = append(out, b.closed[0].job)
-		b.forget(b.closed[0].job)
-		b.closed = b.closed[1:]
+		out = append(out, b.forgetOldest())
 	}
 	return out
 }
--- a/core/board/place.go
+++ b/core/board/place.go
@@ -41,7 +41,9 @@
 			u.open()
 		}
 	}
-	b.hidden = b.unheardRoom()
+	if len(b.held) > 0 {
+		b.hidden = b.unheardRoom()
+	}
 	b.holds()
 	b.stops()
 	if b.changed {
--- a/core/board/place_test.go
+++ b/core/board/place_test.go
@@ -163,7 +163,7 @@
 	is.Equal(first[0].Task.Phase, 0)
 	d.begin(first)
 	d.pass(time.Second)
-	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: first[0].Task, Run: first[0].Run, How: board.EndDone, Word: "done"}})
+	d.held(d.hosts[0], nil, done(1, first[0]))
 	second := d.plan(board.OrderStart)
 	is.Equal(len(second), 1)
 	is.Equal(second[0].Task.Phase, 1)
@@ -309,7 +309,7 @@
 		d.begin(starts)
 		order = append(order, string(starts[0].Task.Job))
 		d.pass(100 * time.Millisecond)
-		d.held(d.hosts[0], nil, []board.Ended{{Number: uint64(i + 1), Task: starts[0].Task, Run: starts[0].Run, How: board.EndDone, Word: "done"}})
+		d.held(d.hosts[0], nil, done(uint64(i+1), starts[0]))
 	}
 	is.Equal(fmt.Sprint(order), "[flood0 fresh late flood1]")
 }
--- a/core/board/reborn_test.go
+++ b/core/board/reborn_test.go
@@ -74,7 +74,7 @@
 			is.Equal(len(d.plan(board.OrderStart)) == 0, there)
 			if there {
 				d.pass(time.Second)
-				d.held(h, nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+				d.held(h, nil, done(1, s))
 				is.Equal(len(d.plan(board.OrderStart)), 0)
 				is.Equal(len(d.Batch()), 1) // the job's end
 			}
@@ -129,7 +129,7 @@
 	s := d.plan(board.OrderStart)[0]
 	d.begin([]board.Order{s})
 	d.pass(time.Second)
-	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+	d.held(d.hosts[0], nil, done(1, s))
 	is.Equal(len(d.Batch()), 1)
 	is.Equal(len(d.plan(board.OrderHold)), 0)
 	d.pass(time.Second)
@@ -137,6 +137,6 @@
 	holds := d.plan(board.OrderHold)
 	is.Equal(len(holds), 1)
 	is.Equal(holds[0].Seen, uint64(0)) // it has not been heard of for a second
-	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+	d.held(d.hosts[0], nil, done(1, s))
 	is.Equal(d.plan(board.OrderHold)[0].Seen, uint64(1))
 }
--- a/core/board/takeover_test.go
+++ b/core/board/takeover_test.go
@@ -41,6 +41,11 @@
 	d.Held(d.now, h.Worker(), d.now, board.Lists{Clock: d.now.Sub(dawn), Born: h.Born, Active: active, Ended: ended})
 }
 
+// done is the end of an order's run, as its worker lists it.
+func done(number uint64, o board.Order) []board.Ended {
+	return []board.Ended{{Number: number, Task: o.Task, Run: o.Run, How: board.EndDone, Word: "done"}}
+}
+
 // plan returns the orders of one kind that the board gives now.
 func (d *desk) plan(kind board.OrderKind) []board.Order {
 	d.Plan(d.now)
@@ -424,7 +429,7 @@
 	s := d.plan(board.OrderStart)[0]
 	d.Started(d.now, s.Worker, s.Task, s.Run, board.ReplyDone)
 	d.pass(time.Second)
-	d.held(d.hosts[0], nil, []board.Ended{{Number: 1, Task: s.Task, Run: s.Run, How: board.EndDone, Word: "done"}})
+	d.held(d.hosts[0], nil, done(1, s))
 	is.Equal(len(d.Batch()), 1)
 	state, _ := d.State("j")
 	is.Equal(state, jobs.Running)
--- a/core/cell/contact.go
+++ b/core/cell/contact.go
@@ -360,9 +360,7 @@
 		return
 	}
 	need := t.spec().Need
-	charge := core.Resources{
-		Cores: max(need.Cores, used.Cores), Memory: max(need.Memory, used.Memory), Accel: max(need.Accel, used.Accel),
-	}
+	charge := need.Max(used)
 	if charge == t.charge {
 		return
 	}
--- a/core/reign/reign_test.go
+++ b/core/reign/reign_test.go
@@ -17,6 +17,17 @@
 	return reign.New(reign.Seat{Holder: "vm-a/1", VM: "vm-a"}, 0)
 }
 
+// newOwner is a process that owns the fleet since 10 ms, with its row, which has
+// version 7.
+func newOwner() (*reign.Reign, reign.Seat) {
+	r := newReign()
+	r.Looked(at(0), reign.Look{Seat: reign.Seat{}, Version: 0})
+	s, _ := r.Next(dawn)
+	r.Wrote(at(10), s, 7, 0)
+	r.Loaded()
+	return r, s
+}
+
 // other is the seat of another process.
 func other(beat int) reign.Seat {
 	return reign.Seat{Holder: "vm-b/1", VM: "vm-b", Epoch: 3, Beat: uint64(beat)}
@@ -131,22 +142,14 @@
 // nothing.
 func TestStaleRead(t *testing.T) {
 	is := is.New(t)
-	r := newReign()
-	r.Looked(at(0), reign.Look{Seat: reign.Seat{}, Version: 0})
-	s, _ := r.Next(dawn)
-	r.Wrote(at(10), s, 7, 0)
-	r.Loaded()
+	r, _ := newOwner()
 	is.True(!r.Looked(at(20), reign.Look{Seat: other(1), Version: 6}))
 	is.True(r.Owning())
 }
 
 func TestSuspension(t *testing.T) {
 	is := is.New(t)
-	r := newReign()
-	r.Looked(at(0), reign.Look{Seat: reign.Seat{}, Version: 0})
-	s, _ := r.Next(dawn)
-	r.Wrote(at(10), s, 7, 0)
-	r.Loaded()
+	r, s := newOwner()
 	is.True(r.Awake(time.Second, time.Second))
 	is.True(!r.Awake(5*time.Second, 2*time.Second))
 	is.True(!r.Awake(6*time.Second, 3*time.Second)) // until the row is confirmed
@@ -158,11 +161,7 @@
 // have claimed meanwhile.
 func TestStall(t *testing.T) {
 	is := is.New(t)
-	r := newReign()
-	r.Looked(at(0), reign.Look{Seat: reign.Seat{}, Version: 0})
-	s, _ := r.Next(dawn)
-	r.Wrote(at(10), s, 7, 0)
-	r.Loaded()
+	r, s := newOwner()
 	is.True(r.Awake(time.Hour, time.Hour))
 	is.True(r.Awake(time.Hour+700*time.Millisecond, time.Hour+700*time.Millisecond)) // its usual pause
 	is.True(!r.Awake(time.Hour+3*time.Second, time.Hour+3*time.Second))
--- a/core/types.go
+++ b/core/types.go
@@ -80,6 +80,11 @@
 	return Resources{min(r.Cores, o.Cores), min(r.Memory, o.Memory), min(r.Accel, o.Accel)}
 }
 
+// Max returns the greater of r and o in every dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.Cores, o.Cores), max(r.Memory, o.Memory), max(r.Accel, o.Accel)}
+}
+
 // Fits reports whether r is at most o in every dimension.
 func (r Resources) Fits(o Resources) bool {
 	return r.Cores <= o.Cores && r.Memory <= o.Memory && r.Accel <= o.Accel
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -139,10 +139,7 @@
 		maps.Copy(rooms, *old)
 	}
 	for _, h := range hosts {
-		r := rooms[h.Service]
-		rooms[h.Service] = core.Resources{
-			Cores: max(r.Cores, h.Room.Cores), Memory: max(r.Memory, h.Room.Memory), Accel: max(r.Accel, h.Room.Accel),
-		}
+		rooms[h.Service] = rooms[h.Service].Max(h.Room)
 	}
 	e.rooms.Store(&rooms)
 }
@@ -260,8 +257,8 @@
 }
 
 // askEarly asks for advice on the first phase while the job is being recorded,
-// if the call is short, nothing waits before it and some worker has room. The
-// channel yields one result.
+// if the call is short, its turn comes soon and some worker has room. The channel
+// yields one result.
 func (e *Entry) askEarly(spec *jobs.Spec) <-chan guide.Result {
 	p, hosts := e.policy.Load(), e.hosts.Load()
 	q := p.Queues[spec.Queue]
--- a/io/guide/guide.go
+++ b/io/guide/guide.go
@@ -55,7 +55,7 @@
 	calls  chan entry
 
 	// mu guards the expected length of the calls that wait and of the one under
-	// way, and when that began; it is zero if there is none.
+	// way, 0 if there is none, and when that began.
 	mu           sync.Mutex
 	waiting, now time.Duration
 	began        time.Time
@@ -82,9 +82,6 @@
 func (g *Guide) Delay() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.began.IsZero() {
-		return g.waiting
-	}
 	return g.waiting + max(g.now-time.Since(g.began), 0)
 }
 
@@ -98,7 +95,7 @@
 func (g *Guide) end() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.now, g.began = 0, time.Time{}
+	g.now = 0
 }
 
 // Run makes the calls until the context ends.
--- a/io/vault/accept.go
+++ b/io/vault/accept.go
@@ -145,7 +145,7 @@
 	a := &acceptance{ctx: ctx, spec: spec, put: put, began: time.Now(), done: make(chan verdict, 1)}
 	if !v.enter(partOf(spec.ID), a) {
 		r := core.Refuse(core.CodeBusy, "%d jobs wait for the store", acceptQueue)
-		r.RetryAfter = time.Second
+		r.RetryAfter = againSoon
 		return spec, v.refusal(spec.ID, r)
 	}
 	// The writer always answers, soon after the caller's time is up.
@@ -257,7 +257,7 @@
 			a.tell(verdict{err: core.Unknown(core.CodeStore, a.ctx.Err(), "the store has not confirmed the job")})
 		} else {
 			r := core.Refuse(core.CodeStore, "the store takes no jobs at present")
-			r.RetryAfter = time.Second
+			r.RetryAfter = againSoon
 			a.tell(verdict{err: v.refusal(a.spec.ID, r)})
 		}
 	}
--- a/io/vault/vault.go
+++ b/io/vault/vault.go
@@ -46,9 +46,9 @@
 	// after another, in 8 ms each, and in some 80 times as long when the store is
 	// slow: 256 then carry 400 jobs a second, each from another VM.
 	parts = 256
-	// awayAgain is when a client that was refused should come back: clients come
+	// againSoon is when a client that was refused should come back: clients come
 	// back through any VM, and most cuts spare some.
-	awayAgain = time.Second
+	againSoon = time.Second
 	// readers bounds the partitions read side by side.
 	readers = 32
 )
@@ -102,7 +102,7 @@
 // cannot be reached; clients come back through other VMs.
 func (v *Vault) away() *core.RefusalError {
 	r := core.Refuse(core.CodeStore, "this VM does not reach the store")
-	r.RetryAfter = awayAgain
+	r.RetryAfter = againSoon
 	return r
 }
 
