Acknowledge ends only to the incarnation that listed them

An acknowledgement decided before the owner knew of a restart made the new incarnation forget an end that nobody had read, and the task ran again.

Besides, the scheduler acknowledges nothing by an answer older than 0.5 s.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -29,6 +29,9 @@
 	firstHeartbeatRetry = 50 * time.Millisecond
 	// stopRetry is the delay before an unanswered stop is sent again.
 	stopRetry = 500 * time.Millisecond
+	// maxAckAge is the age of a worker's last answer from which on its ends are not
+	// acknowledged: it may have restarted since, and must answer once more first.
+	maxAckAge = 500 * time.Millisecond
 	// maxJobWait is how long the end of a run of an unknown job waits for that
 	// job to be read from the store. A job that is still unknown after several
 	// readings has been deleted.
@@ -384,9 +387,12 @@
 // gets its lease renewed: a renewal sent to a silent worker may arrive late,
 // and no time would be known by which the runs there must have ended.
 func (s *Scheduler) orderHeartbeat(w *Worker, wait time.Duration) {
-	o := Order{Kind: OrderHeartbeat, Worker: w.id, Info: w.info, Epoch: s.epoch, AckedEnd: w.ackedEnd, Wait: wait}
+	o := Order{Kind: OrderHeartbeat, Worker: w.id, Info: w.info, Epoch: s.epoch, Wait: wait}
 	if w.state == workerLive {
 		o.LeaseUntil = w.extendLease()
+		if s.now.Sub(w.answeredAt) <= maxAckAge {
+			o.AckedEnd = w.ackedEnd
+		}
 	}
 	s.orders = append(s.orders, o)
 }
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -244,6 +244,12 @@
 		case fleet.OrderStop:
 			reply = w.Stop(sent.order, stopDelay)
 		case fleet.OrderHeartbeat:
+			// The client acknowledges ends only on a connection of the incarnation that
+			// listed them.
+			if !sent.order.Info.Incarnation.Equal(w.Info.Incarnation) {
+				sent.order.AckedEnd = 0
+			}
+			h.checkAcknowledged(w, sent.order.AckedEnd)
 			lists, reply = w.Heartbeat(sent.order)
 		}
 	}
@@ -255,6 +261,17 @@
 	}
 }
 
+// checkAcknowledged fails the test if a worker is to forget an end that no owner has
+// read.
+func (h *harness) checkAcknowledged(w *model.Worker, acked uint64) {
+	h.t.Helper()
+	for _, e := range w.Unacknowledged() {
+		if _, read := h.reportedEnds[e.Task]; e.Number <= acked && e.Kind == fleet.EndDone && !read {
+			h.t.Fatalf("at %s: end %d on %s, of task %s, is acknowledged, but no owner has read it", h.now.Sub(startTime), e.Number, w.Info.Name, e.Task)
+		}
+	}
+}
+
 func (h *harness) worker(id core.WorkerID) *model.Worker {
 	return h.workers[slices.IndexFunc(h.workers, func(w *model.Worker) bool { return w.Info.ID() == id })]
 }
@@ -432,6 +449,11 @@
 		// The owner stops and is replaced.
 		h.currentOwner().stopped = true
 		h.addOwner()
+	case 7, 8, 9:
+		// The worker restarts so quickly that no list shows it.
+		if w.Up {
+			w.Restart(h.now)
+		}
 	}
 }
 
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -42,7 +42,7 @@
 	// none.
 	LeaseUntil time.Duration
 	// AckedEnd acknowledges all ends up to this number, whose progress is
-	// stored.
+	// stored. It must reach no other incarnation than Info.Incarnation.
 	AckedEnd uint64
 	// Wait is how long a worker may delay its answer to a heartbeat until a run
 	// ends.
--- a/core/model/worker.go
+++ b/core/model/worker.go
@@ -270,6 +270,9 @@
 	return l, fleet.ReplyOK
 }
 
+// Unacknowledged returns the ends that have not been acknowledged.
+func (w *Worker) Unacknowledged() []fleet.EndedRun { return w.ended }
+
 // UsedResources returns the resources that the active runs use.
 func (w *Worker) UsedResources() core.Resources {
 	var sum core.Resources
