why: take only the owner's end events for a job's end

Summary now compares with the events that core/fleet logs. Test: TestSummaryOfEnds, failing before for three of six messages.

--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -208,9 +208,12 @@
 	}
 }
 
+// EndEvent returns the event of the decision that logs the end of a job in a state.
+func EndEvent(state jobs.State) string { return "job " + string(state) }
+
 // logEnd logs the job's final state and by how much it missed its deadline.
 func (j *Job) logEnd() {
-	d := Decision{Job: j.Spec.ID, Event: "job " + string(j.progress.State), Wait: j.scheduler.now.Sub(j.acceptedAt)}
+	d := Decision{Job: j.Spec.ID, Event: EndEvent(j.progress.State), Wait: j.scheduler.now.Sub(j.acceptedAt)}
 	if overdue := j.scheduler.now.Sub(j.deadline); overdue > 0 {
 		d.Reason = "late by " + overdue.Round(time.Millisecond).String()
 	}
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -10,6 +10,10 @@
 	"slices"
 	"strings"
 	"time"
+
+	"chicoryturn/core"
+	"chicoryturn/core/fleet"
+	"chicoryturn/core/jobs"
 )
 
 // maxLine bounds the length of a log line in bytes.
@@ -18,6 +22,9 @@
 // printedFields are the fields that String prints, in this order.
 var printedFields = []string{"result", "queue", "task", "run", "worker", "after", "because", "took", "error"}
 
+// endEvents are the messages that log the end of a job.
+var endEvents = core.NewSet(fleet.EndEvent(jobs.Completed), fleet.EndEvent(jobs.Failed), fleet.EndEvent(jobs.Cancelled))
+
 // Line is one log line of the job.
 type Line struct {
 	// At is the time of day as logged by the VM; the clocks of VMs may differ.
@@ -119,7 +126,7 @@
 		case l.Message == "run ended failed":
 			failedRuns++
 			lastFailedOn = l.Fields["worker"]
-		case strings.HasPrefix(l.Message, "job "):
+		case endEvents.Has(l.Message):
 			ended = strings.TrimSpace(l.Message + " after " + l.Fields["after"] + " " + l.Fields["because"])
 		}
 	}
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -46,3 +46,24 @@
 		})
 	}
 }
+
+// TestSummaryOfEnds checks the summary for each end that a job can have, and that other
+// messages about a job are not taken for its end.
+func TestSummaryOfEnds(t *testing.T) {
+	const accepted = `{"job":"aa","msg":"submit","part":"entry","result":"accepted","time":"06:00:00.000","vm":"a"}` + "\n"
+	for msg, want := range map[string]string{
+		"job completed":          "job completed after 2s",
+		"job failed":             "job failed after 2s",
+		"job cancelled":          "job cancelled after 2s",
+		"job left to the store":  "accepted; these logs do not contain its end",
+		"job found in the store": "accepted; these logs do not contain its end",
+		"job not passed on":      "accepted; these logs do not contain its end",
+	} {
+		t.Run(msg, func(t *testing.T) {
+			is := is.New(t)
+			lines, _, err := trace.Read(strings.NewReader(accepted+`{"job":"aa","msg":"`+msg+`","after":"2s","time":"06:00:02.000","vm":"b"}`), "aa")
+			is.NoErr(err)
+			is.Equal(trace.Summary(lines), want)
+		})
+	}
+}
