--- /dev/null
+++ b/io/record/roster.go
@@ -0,0 +1,134 @@
+package record
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"chicoryturn/core"
+	"chicoryturn/core/fleet"
+	"chicoryturn/io/table"
+)
+
+const (
+	// rosterName is the prefix of the names of the roster's rows. Each row holds up
+	// to rosterPageSize workers, since the value of a row is limited to 64 KiB.
+	rosterName     = "roster"
+	rosterPageSize = 64
+)
+
+func rosterKey(page int) table.Key {
+	return table.Key{Table: fleetTable, Part: fleetPart, Name: fmt.Sprintf("%s/%04d", rosterName, page)}
+}
+
+// rosterPage is one row of the roster.
+type rosterPage struct {
+	// Pages is the number of rows of the roster. Rows beyond it belong to an older,
+	// longer roster.
+	Pages   int
+	Workers []fleet.WorkerInfo `json:"Hosts"`
+}
+
+// pager divides the roster of one owner into rows. A worker stays in its row, so that
+// a change rewrites the rows of the workers concerned only, and a write of which only
+// a part takes effect removes no other worker.
+type pager struct {
+	epoch core.Epoch
+	// pageOf holds the row of each worker.
+	pageOf map[core.WorkerID]int
+	// stored holds the rows as this owner has written them; a row that may hold
+	// something else is not in it.
+	stored map[int][]fleet.WorkerInfo
+	pages  int
+}
+
+// newPager returns a pager for the owner of an epoch. The workers of the rows that are
+// in the store stay in these.
+func newPager(epoch core.Epoch, rows [][]fleet.WorkerInfo) *pager {
+	p := &pager{epoch: epoch, pageOf: map[core.WorkerID]int{}, stored: map[int][]fleet.WorkerInfo{}, pages: len(rows)}
+	for i, row := range rows {
+		for _, w := range row {
+			p.pageOf[w.ID()] = i
+		}
+	}
+	return p
+}
+
+// divide returns the rows that must be written to store a roster.
+func (p *pager) divide(roster []fleet.WorkerInfo) map[int][]fleet.WorkerInfo {
+	rows := make([][]fleet.WorkerInfo, max(p.pages, 1))
+	listed := make(core.Set[core.WorkerID], len(roster))
+	var added []fleet.WorkerInfo
+	for _, w := range roster {
+		listed.Add(w.ID())
+		if i, ok := p.pageOf[w.ID()]; ok {
+			rows[i] = append(rows[i], w)
+		} else {
+			added = append(added, w)
+		}
+	}
+	page := 0
+	for _, w := range added {
+		for page < len(rows) && len(rows[page]) >= rosterPageSize {
+			page++
+		}
+		if page == len(rows) {
+			rows = append(rows, nil)
+		}
+		rows[page] = append(rows[page], w)
+		p.pageOf[w.ID()] = page
+	}
+	for id := range p.pageOf {
+		if !listed.Has(id) {
+			delete(p.pageOf, id)
+		}
+	}
+	changed := map[int][]fleet.WorkerInfo{}
+	for i, row := range rows {
+		// The first row holds the number of rows.
+		grown := i == 0 && len(rows) != p.pages
+		if old, ok := p.stored[i]; !ok || grown || !slices.EqualFunc(old, row, sameEntry) {
+			changed[i] = row
+			delete(p.stored, i)
+		}
+	}
+	p.pages = len(rows)
+	return changed
+}
+
+// sameEntry reports whether two entries of the roster tell a later owner the same.
+func sameEntry(a, b fleet.WorkerInfo) bool {
+	return a.ID() == b.ID() && a.Addr == b.Addr && a.Incarnation.Equal(b.Incarnation)
+}
+
+// confirm records that rows have been stored.
+func (p *pager) confirm(rows map[int][]fleet.WorkerInfo) {
+	for i, row := range rows {
+		p.stored[i] = row
+	}
+}
+
+// roster reads the rows of the roster. Their range ends at "0", the character after the
+// "/" in their names.
+func (s *Store) roster(ctx context.Context) ([][]fleet.WorkerInfo, error) {
+	var rows [][]fleet.WorkerInfo
+	var failed error
+	pages := 0
+	_, err := s.scan(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"}, func(row table.Row) {
+		var page rosterPage
+		if err := decode(row, &page); err != nil {
+			failed = err
+			return
+		}
+		if len(rows) == 0 {
+			pages = page.Pages
+		}
+		if len(rows) < pages {
+			rows = append(rows, page.Workers)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rows, failed
+}
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -9,7 +9,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -37,10 +36,6 @@
 	fleetPart = "fleet"
 	// ownerName is the name of the row of the ownership record.
 	ownerName = "seat"
-	// rosterName is the prefix of the names of the roster's rows. Each row holds
-	// rosterPageSize workers, since the value of a row is limited to 64 KiB.
-	rosterName     = "roster"
-	rosterPageSize = 64
 	// maxRowBytes bounds the value of a row, in bytes. The platform's limit is 65,536.
 	maxRowBytes = 64 << 10
 	// jobParts is the number of partitions of jobs, by hash of the name. A partition
@@ -78,6 +73,11 @@
 	// received an unknown outcome, each with the time of that answer.
 	unconfirmed map[core.JobID]time.Time
 	queues      [jobParts]partQueue
+	// pager divides the roster of the latest epoch in which this process wrote as the
+	// owner; nil before.
+	pager *pager
+	// loadedRoster holds the rows of the roster that Load has read last.
+	loadedRoster [][]fleet.WorkerInfo
 	// closed is set when Run ends; enqueue then refuses all jobs.
 	closed bool
 }
@@ -133,18 +133,6 @@
 	return table.Key{Table: fleetTable, Part: fleetPart, Name: ownerName}
 }
 
-func rosterKey(page int) table.Key {
-	return table.Key{Table: fleetTable, Part: fleetPart, Name: fmt.Sprintf("%s/%04d", rosterName, page)}
-}
-
-// rosterPage is one row of the roster.
-type rosterPage struct {
-	// Pages is the number of rows of the roster. Rows beyond it belong to an older,
-	// longer roster.
-	Pages   int
-	Workers []fleet.WorkerInfo `json:"Hosts"`
-}
-
 func partName(i int) string { return "p" + strconv.Itoa(i) }
 
 // encode returns a write of val in JSON under a key.
@@ -190,48 +178,6 @@
 	return obs, decode(r, &obs.Record)
 }
 
-// OwnerWrite is one transaction of an owner.
-type OwnerWrite struct {
-	Record elect.Record
-	// Version is the version of the ownership record that Record replaces.
-	Version  uint64
-	Progress []jobs.Progress
-	// Deletes are the jobs whose progress rows are deleted.
-	Deletes []core.JobID
-	// Roster is written if it is not nil.
-	Roster []fleet.WorkerInfo
-}
-
-// Write executes a transaction of an owner on the condition that the ownership record
-// has not changed since w.Version.
-func (s *Store) Write(ctx context.Context, w OwnerWrite) (table.WriteResult, error) {
-	t := table.Txn{Checks: []table.Check{{Key: ownerKey(), Version: w.Version}}}
-	rows := map[table.Key]any{ownerKey(): w.Record}
-	if w.Roster != nil {
-		pages := slices.Collect(slices.Chunk(w.Roster, rosterPageSize))
-		for i, workers := range pages {
-			rows[rosterKey(i)] = rosterPage{len(pages), workers}
-		}
-		if len(pages) == 0 {
-			rows[rosterKey(0)] = rosterPage{}
-		}
-	}
-	for _, p := range w.Progress {
-		rows[progressKey(p.Job)] = p
-	}
-	for k, val := range rows {
-		p, err := encode(k, val)
-		if err != nil {
-			return table.WriteResult{}, err
-		}
-		t.Puts = append(t.Puts, p)
-	}
-	for _, id := range w.Deletes {
-		t.Deletes = append(t.Deletes, progressKey(id))
-	}
-	return s.client.Write(ctx, t)
-}
-
 // Delete deletes the job and cancellation rows of jobs whose retention period has
 // passed. The owner deletes their progress rows with its next write. After a failure
 // the remaining rows stay until a later owner finds and deletes them.
@@ -280,8 +226,11 @@
 		})
 	}
 	g.Go(func() error {
-		var err error
-		out.Roster, err = s.roster(sub)
+		rows, err := s.roster(sub)
+		out.Roster = slices.Concat(rows...)
+		s.mu.Lock()
+		s.loadedRoster = rows
+		s.mu.Unlock()
 		return err
 	})
 	if err := g.Wait(); err != nil {
@@ -317,30 +266,6 @@
 	return out, nil
 }
 
-// roster reads the roster of workers. Its range ends at "0", the character after the
-// "/" in the names of the rows.
-func (s *Store) roster(ctx context.Context) ([]fleet.WorkerInfo, error) {
-	p, err := s.client.Read(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"})
-	if err != nil {
-		return nil, err
-	}
-	var out []fleet.WorkerInfo
-	pages := 0
-	for i, row := range p.Rows {
-		var page rosterPage
-		if err := decode(row, &page); err != nil {
-			return nil, err
-		}
-		if i == 0 {
-			pages = page.Pages
-		}
-		if i < pages {
-			out = append(out, page.Workers...)
-		}
-	}
-	return out, nil
-}
-
 // addJob adds a row of the job table, which is a job or a cancellation.
 func (s *Snapshot) addJob(row table.Row) {
 	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
--- a/io/record/store_test.go
+++ b/io/record/store_test.go
@@ -28,9 +28,13 @@
 	rows    map[table.Key]table.Row
 	version uint64
 	writes  int
+	// written counts the bytes of the values written, as on the wire.
+	written int
 	// refuse fails writes with status 503, silent leaves them unanswered. A silent
 	// write takes effect if applied is set.
 	refuse, silent, applied bool
+	// failAfter refuses all writes after that many; 0 refuses none.
+	failAfter int
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[table.Key]table.Row{}} }
@@ -45,14 +49,20 @@
 	tbl.mu.Lock()
 	defer tbl.mu.Unlock()
 	tbl.writes++
-	if tbl.refuse {
+	if tbl.refuse || tbl.failAfter > 0 && tbl.writes > tbl.failAfter {
 		return table.WriteResult{}, &table.RefusedError{Status: 503}
 	}
+	size := 0
 	for _, p := range t.Puts {
+		size += len(p.Val) * 4 / 3
 		if len(p.Val) > 65536 {
 			return table.WriteResult{}, &table.RefusedError{Status: 400}
 		}
 	}
+	if size > 1_000_000 || len(t.Checks)+len(t.Puts)+len(t.Deletes) > 100 {
+		return table.WriteResult{}, &table.RefusedError{Status: 400}
+	}
+	tbl.written += size
 	if tbl.silent && !tbl.applied {
 		return table.WriteResult{}, &table.UnansweredError{Err: context.DeadlineExceeded}
 	}
@@ -85,12 +95,19 @@
 	tbl.mu.Lock()
 	defer tbl.mu.Unlock()
 	p := table.Page{Version: tbl.version}
+	size := 0
 	for k, row := range tbl.rows {
 		if k.Table == r.Table && k.Part == r.Part && k.Name >= r.From && (r.To == "" || k.Name < r.To) {
 			p.Rows = append(p.Rows, row)
 		}
 	}
 	slices.SortFunc(p.Rows, func(a, b table.Row) int { return strings.Compare(a.Name, b.Name) })
+	for i, row := range p.Rows {
+		if size += len(row.Val) * 4 / 3; i == 500 || i > 0 && size > 1_000_000 {
+			p.Rows, p.More = p.Rows[:i], true
+			break
+		}
+	}
 	return p, nil
 }
 
@@ -371,6 +388,102 @@
 	}
 }
 
+// rosterOf returns a roster of workers with the given numbers.
+func rosterOf(numbers ...int) []fleet.WorkerInfo {
+	workers := []fleet.WorkerInfo{}
+	for _, i := range numbers {
+		workers = append(workers, fleet.WorkerInfo{
+			VM:     core.VM{Name: fmt.Sprintf("i-%010d", i), Zone: "some-data-centre-a", Region: "some-region", Service: "a-service", Capacity: core.Resources{Cores: 64000, Memory: 262144}},
+			Labels: []string{"a", "r1-22"}, Incarnation: time.UnixMilli(1), Renewals: uint64(i),
+		})
+	}
+	return workers
+}
+
+func numbersTo(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// TestRosterOfLargeFleet writes the roster of 13,000 workers, which takes several
+// transactions, with the progress of many large jobs. One worker more and one less must
+// then cost a few rows.
+func TestRosterOfLargeFleet(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	tbl := newFakeTable()
+	s := startStore(t, tbl)
+	var progress []jobs.Progress
+	for i := range 90 {
+		p := jobs.Progress{Job: core.JobID(fmt.Sprintf("%016x", i)), FailedRuns: map[int][]uint64{}}
+		for task := range 900 {
+			p.FailedRuns[task] = []uint64{1 << 20}
+		}
+		progress = append(progress, p)
+	}
+	numbers := numbersTo(13000)
+	done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1}, Progress: progress, Roster: rosterOf(numbers...)})
+	is.NoErr(err)
+	snapshot, err := s.Load(ctx)
+	is.NoErr(err)
+	is.Equal(len(snapshot.Roster), 13000)
+	is.Equal(len(snapshot.Progress), 90)
+
+	tbl.written = 0
+	_, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1, WriteNumber: 2}, Version: done.Version, Roster: rosterOf(append(numbers[1:], 13000)...)})
+	is.NoErr(err)
+	is.True(tbl.written < 4*64<<10)
+	snapshot, err = s.Load(ctx)
+	is.NoErr(err)
+	is.Equal(len(snapshot.Roster), 13000)
+}
+
+// TestRosterAfterPartialWrite lets the second transaction of a new owner's roster fail.
+// Whatever has been stored, no worker of the earlier roster that is still in use may be
+// missing.
+func TestRosterAfterPartialWrite(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	tbl := newFakeTable()
+	done, err := startStore(t, tbl).Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1}, Roster: rosterOf(numbersTo(6000)...)})
+	is.NoErr(err)
+	s := startStore(t, tbl)
+	_, err = s.Load(ctx)
+	is.NoErr(err)
+	var kept []int
+	for i := range 6000 {
+		if i%3 != 0 {
+			kept = append(kept, i)
+		}
+	}
+	tbl.failAfter = tbl.writes + 1
+	write := record.OwnerWrite{Record: elect.Record{Holder: "y", Epoch: 2}, Version: done.Version, Roster: rosterOf(kept...)}
+	_, err = s.Write(ctx, write)
+	var unanswered *table.UnansweredError
+	is.True(errors.As(err, &unanswered)) // the ownership record has a new version
+	snapshot, err := s.Load(ctx)
+	is.NoErr(err)
+	stored := core.NewSet[core.WorkerID]()
+	for _, w := range snapshot.Roster {
+		stored.Add(w.ID())
+	}
+	for _, w := range write.Roster {
+		is.True(stored.Has(w.ID()))
+	}
+	tbl.failAfter = 0
+	obs, err := s.OwnerRecord(ctx)
+	is.NoErr(err)
+	write.Version = obs.Version
+	_, err = s.Write(ctx, write)
+	is.NoErr(err)
+	snapshot, err = s.Load(ctx)
+	is.NoErr(err)
+	is.Equal(len(snapshot.Roster), 4000)
+}
+
 // TestLargeJob accepts a job that is too large for a row, which must be refused at
 // once.
 func TestLargeJob(t *testing.T) {
