--- a/core/fleet/absence.go
+++ b/core/fleet/absence.go
@@ -26,17 +26,21 @@
 }
 
 // Observe updates the tracker with a list read at the given time.
-func (t *AbsenceTracker) Observe(now time.Time, infos []WorkerInfo) {
+func (t *AbsenceTracker) Observe(now time.Time, list WorkerList) {
 	if now.Sub(t.readAt) > maxTrackerGap {
 		clear(t.missingSince)
 	}
 	t.readAt = now
 	listed := core.NewSet[core.WorkerID]()
-	for _, info := range infos {
+	for _, info := range list.Workers {
 		listed.Add(info.ID())
 		t.everListed.Add(info.ID())
 		delete(t.missingSince, info.ID())
 	}
+	for _, e := range list.Unusable {
+		listed.Add(e.ID)
+		delete(t.missingSince, e.ID)
+	}
 	for id := range t.everListed {
 		if _, isMissing := t.missingSince[id]; !isMissing && !listed.Has(id) {
 			t.missingSince[id] = now
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -325,10 +325,12 @@
 	s.needsPlacement = true
 }
 
-// IncarnationEnded handles the proof that a worker's incarnation has ended.
+// IncarnationEnded handles the proof that a worker's incarnation has ended: another
+// worker answers at its address.
 func (s *Scheduler) IncarnationEnded(now time.Time, id core.WorkerID) {
 	s.now = now
 	if w := s.workers[id]; w != nil {
+		s.misdirected.add(w.info)
 		w.fire(workerVanish)
 		s.removeGone()
 		s.resolveRecovered()
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -147,7 +147,7 @@
 			listed = append(listed, w.Info)
 		}
 	}
-	o.scheduler.SetWorkers(h.now, listed)
+	o.scheduler.SetWorkers(h.now, fleet.WorkerList{Workers: listed})
 }
 
 func (h *harness) submit(spec jobs.Spec) {
--- a/core/fleet/place_test.go
+++ b/core/fleet/place_test.go
@@ -129,7 +129,7 @@
 	f := newFixture(2, 2)
 	f.Scheduler = scheduler
 	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
-	f.SetWorkers(f.now, f.workers)
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
 	f.heartbeat(f.workers[0], []fleet.ActiveRun{{Task: newTaskID("j", 0), Run: 1}}, nil)
 	f.heartbeat(f.workers[1], nil, nil)
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -37,13 +37,13 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(1, 1)
-			f.SetWorkers(f.now, f.workers)
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 			f.RosterStored(f.Roster())
 			restarted := f.workers[0]
 			restarted.Incarnation = f.now
 			f.advance(time.Second)
 			if listed {
-				f.SetWorkers(f.now, []fleet.WorkerInfo{restarted})
+				f.SetWorkers(f.now, fleet.WorkerList{Workers: []fleet.WorkerInfo{restarted}})
 			}
 			f.heartbeat(restarted, nil, nil)
 			f.Accept(f.now, newJob("j", 1, false))
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -64,6 +64,7 @@
 	// sortedWorkers holds the workers sorted by name, for deterministic
 	// decisions.
 	sortedWorkers []*Worker
+	misdirected   misdirected
 	// openPhases holds the phases whose tasks may start.
 	openPhases map[*phase]struct{}
 	// futurePhases holds the phases of occurrences that are not due yet.
@@ -170,7 +171,7 @@
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		epoch: epoch, recoverBefore: epoch, now: now, allReported: epoch <= 1, limits: limits.bounded(), policy: p, estimator: cell.NewEstimator(),
-		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{},
+		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
 		openPhases: map[*phase]struct{}{}, futurePhases: map[*phase]struct{}{},
 		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{}, unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, dirty: map[core.JobID]*Job{},
 	}
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -31,7 +31,7 @@
 // registerWorkers lists all workers, stores the roster, and has each worker answer a
 // heartbeat.
 func (f *fixture) registerWorkers() {
-	f.SetWorkers(f.now, f.workers)
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
 	for _, w := range f.workers {
 		f.heartbeat(w, nil, nil)
@@ -95,7 +95,7 @@
 	maxWait := leaseDuration*100/98 + 200*time.Millisecond
 	for f.now.Sub(startTime) < maxWait {
 		f.advance(100 * time.Millisecond)
-		f.SetWorkers(f.now, f.workers)
+		f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 		f.Tick(f.now)
 		var starts []fleet.Order
 		for _, o := range f.Orders() {
@@ -169,11 +169,11 @@
 					remaining = append(remaining, f.workers[i])
 				}
 			}
-			f.SetWorkers(f.now, f.workers)
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 			f.advance(c.sinceRenewal)
 			f.heartbeat(remaining[0], nil, nil)
 			f.HeartbeatFailed(f.now, first[0].Worker)
-			f.SetWorkers(f.now, remaining)
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: remaining})
 			is.Equal(len(f.nextOrders(fleet.OrderStart)) == 1, c.startsAtOnce)
 		})
 	}
@@ -189,7 +189,7 @@
 	f.nextOrders(fleet.OrderHeartbeat)
 	f.HeartbeatFailed(f.now, f.workers[0].ID())
 	for range 6 {
-		f.SetWorkers(f.now, f.workers[1:])
+		f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers[1:]})
 		f.advance(500 * time.Millisecond)
 	}
 	is.Equal(len(f.Roster()), 1)
@@ -207,14 +207,14 @@
 			is := is.New(t)
 			f := newFixture(2, 2)
 			tracker := fleet.NewAbsenceTracker()
-			tracker.Observe(f.now, f.workers)
+			tracker.Observe(f.now, fleet.WorkerList{Workers: f.workers})
 			for range 4 {
 				f.advance(c.interval)
-				tracker.Observe(f.now, f.workers[:1])
+				tracker.Observe(f.now, fleet.WorkerList{Workers: f.workers[:1]})
 			}
 			f.RestoreRoster(f.workers, tracker.MissingSince())
 			f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
-			f.SetWorkers(f.now, f.workers[:1])
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers[:1]})
 			f.RosterStored(f.Roster())
 			f.heartbeat(f.workers[0], nil, nil)
 			is.Equal(len(f.nextOrders(fleet.OrderStart)), c.starts)
@@ -227,7 +227,7 @@
 func TestEndOfUnknownJob(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2, 2)
-	f.SetWorkers(f.now, f.workers)
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
 	ends := []fleet.EndedRun{{Number: 1, Task: newTaskID("j", 0), Run: 1, Kind: fleet.EndDone, Reason: "done"}}
 	f.heartbeat(f.workers[0], nil, ends)
@@ -250,7 +250,7 @@
 func TestRunOfUnknownJob(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2, 2)
-	f.SetWorkers(f.now, f.workers)
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
 	f.heartbeat(f.workers[0], []fleet.ActiveRun{{Task: newTaskID("j", 0), Run: 1}}, nil)
 	f.heartbeat(f.workers[1], nil, nil)
@@ -289,7 +289,7 @@
 				stored = append(stored, young)
 			}
 			f.Load(f.now, stored, nil)
-			f.SetWorkers(f.now, f.workers)
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 			f.RosterStored(f.Roster())
 			f.heartbeat(f.workers[0], nil, nil)
 			if !c.stored {
@@ -322,7 +322,7 @@
 		j := newJob("j", 1, false)
 		j.FirstEpoch = epoch
 		f.Load(f.now, []jobs.Spec{j}, nil)
-		f.SetWorkers(f.now, f.workers)
+		f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 		f.RosterStored(f.Roster())
 		f.heartbeat(f.workers[0], nil, nil)
 		is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
@@ -347,7 +347,7 @@
 			old, young := newJob("old", 40, false), newJob("young", 4, false)
 			young.FirstEpoch = 2
 			f.Load(f.now, []jobs.Spec{old}, nil)
-			f.SetWorkers(f.now, f.workers)
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 			f.RosterStored(f.Roster())
 			f.heartbeat(f.workers[0], nil, nil)
 			f.heartbeat(f.workers[1], nil, nil)
@@ -363,7 +363,7 @@
 	is := is.New(t)
 	f := newFixture(2, 2)
 	f.Load(f.now, []jobs.Spec{newJob("j", 2, true)}, nil)
-	f.SetWorkers(f.now, f.workers)
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
 	f.heartbeat(f.workers[0], []fleet.ActiveRun{{Task: newTaskID("j", 0), Run: 1}}, nil)
 	f.heartbeat(f.workers[1], nil, nil)
@@ -384,7 +384,7 @@
 	is := is.New(t)
 	f := newFixture(2, 2)
 	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
-	f.SetWorkers(f.now, f.workers)
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
 	f.heartbeat(f.workers[0], []fleet.ActiveRun{{Task: newTaskID("j", 0), Run: 1}}, nil)
 	f.heartbeat(f.workers[1], nil, nil)
@@ -455,7 +455,7 @@
 	f.Scheduler = fleet.New(startTime, 2, fleet.Limits{Lease: 10 * time.Second, ListTimeout: 4500 * time.Millisecond, RemoteFactor: 1}, newPolicy(core.Resources{}))
 	f.RestoreRoster(f.workers, nil)
 	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
-	f.SetWorkers(f.now, f.workers[:1])
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers[:1]})
 	f.RosterStored(f.Roster())
 	f.heartbeat(f.workers[0], nil, nil)
 	maxDelay := 2500 * time.Millisecond // how long an entry must be missing
@@ -467,7 +467,7 @@
 			return
 		}
 		f.advance(100 * time.Millisecond)
-		f.SetWorkers(f.now, f.workers[:1])
+		f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers[:1]})
 		f.heartbeat(f.workers[0], nil, nil)
 	}
 	t.Fatal("the task was not started")
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -53,6 +53,20 @@
 	Renewals uint64 `json:"Beat"`
 }
 
+// WorkerList is one reading of the platform's list of workers.
+type WorkerList struct {
+	Workers []WorkerInfo
+	// Unusable holds the entries that describe no usable worker, each with an ID that
+	// no entry of Workers has.
+	Unusable []UnusableEntry
+}
+
+// UnusableEntry is an entry of the platform's list that describes no usable worker.
+type UnusableEntry struct {
+	ID  core.WorkerID
+	Err error
+}
+
 // ID returns the worker's name.
 func (info WorkerInfo) ID() core.WorkerID { return core.WorkerID(info.Name) }
 
@@ -83,6 +97,9 @@
 	// missingSince is when the worker was first found missing.
 	listed       bool
 	missingSince time.Time
+	// entryUnusable is set while the worker's entry in the list cannot be used. What
+	// the last usable one said of the worker holds on, but nothing is placed on it.
+	entryUnusable bool
 	// renewedAt is when the last renewal of the entry was seen.
 	renewedAt time.Time
 	// free is the room that neither tasks nor orphaned runs hold.
@@ -130,11 +147,21 @@
 func (w *Worker) fire(ev chart.Event) { w.scheduler.recordRefused(workerChart.Fire(&w.state, ev, w)) }
 
 // SetWorkers updates the workers from a new list of the platform.
-func (s *Scheduler) SetWorkers(now time.Time, infos []WorkerInfo) {
+func (s *Scheduler) SetWorkers(now time.Time, list WorkerList) {
 	s.now = now
 	listed := map[core.WorkerID]bool{}
-	for _, info := range infos {
+	s.misdirected.retain(list.Workers)
+	for _, e := range list.Unusable {
+		if w := s.workers[e.ID]; w != nil {
+			listed[e.ID] = true
+			w.entryUnusable, w.missingSince = true, time.Time{}
+		}
+	}
+	for _, info := range list.Workers {
 		id := info.ID()
+		if s.misdirected.has(info) {
+			continue
+		}
 		listed[id] = true
 		w := s.workers[id]
 		if w == nil {
@@ -214,7 +241,7 @@
 	if info.Renewals != w.info.Renewals {
 		w.renewedAt = w.scheduler.now
 	}
-	w.listed, w.missingSince = true, time.Time{}
+	w.listed, w.entryUnusable, w.missingSince = true, false, time.Time{}
 	if info.Capacity != w.info.Capacity {
 		w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	}
@@ -343,5 +370,5 @@
 
 // usable reports whether tasks may be placed on the worker.
 func (w *Worker) usable() bool {
-	return w.state == workerLive && w.listed && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
+	return w.state == workerLive && w.listed && !w.entryUnusable && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -66,9 +66,7 @@
 
 // WorkerLister lists the workers that the platform knows.
 type WorkerLister interface {
-	// Workers returns the workers and one error for each list entry that describes no
-	// usable worker.
-	Workers(ctx context.Context) (workers []fleet.WorkerInfo, skipped []error, err error)
+	Workers(ctx context.Context) (fleet.WorkerList, error)
 }
 
 // Meter records metrics.
@@ -112,7 +110,9 @@
 	// onWorkers is called with each new worker list.
 	onWorkers func([]fleet.WorkerInfo)
 	// workerList is the last worker list.
-	workerList []fleet.WorkerInfo
+	workerList fleet.WorkerList
+	// unusable holds why entries of that list cannot be used, as logged.
+	unusable map[core.WorkerID]string
 	// absence tracks workers that the platform no longer lists, also while another
 	// process owns the fleet.
 	absence *fleet.AbsenceTracker
@@ -297,7 +297,7 @@
 	}
 	o.workersReadInFlight = true
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		workers, skipped, err := o.lister.Workers(ctx)
+		list, err := o.lister.Workers(ctx)
 		return func(o *Owner, now time.Time) {
 			o.workersReadInFlight = false
 			o.nextWorkersRead = now.Add(o.workersReadDelay())
@@ -305,14 +305,12 @@
 				o.log.WithError(err).Warn("cannot read the worker list")
 				return
 			}
-			for _, e := range skipped {
-				o.log.WithError(e).Warn("skipping a worker list entry")
-			}
-			o.workerList, o.workerListAt = workers, now
-			o.absence.Observe(now, workers)
-			o.onWorkers(workers)
+			o.logUnusable(list.Unusable)
+			o.workerList, o.workerListAt = list, now
+			o.absence.Observe(now, list)
+			o.onWorkers(list.Workers)
 			if o.scheduler != nil {
-				o.scheduler.SetWorkers(now, workers)
+				o.scheduler.SetWorkers(now, list)
 				o.stageRoster()
 				o.tickSoon(now)
 			}
@@ -320,6 +318,19 @@
 	})
 }
 
+// logUnusable logs the entries of the worker list that cannot be used, and why. An entry
+// is logged again only when the reason changes.
+func (o *Owner) logUnusable(entries []fleet.UnusableEntry) {
+	reasons := make(map[core.WorkerID]string, len(entries))
+	for _, e := range entries {
+		reasons[e.ID] = e.Err.Error()
+		if o.unusable[e.ID] != reasons[e.ID] {
+			o.log.WithError(e.Err).WithField("worker", e.ID).Warn("skipping a worker list entry")
+		}
+	}
+	o.unusable = reasons
+}
+
 // workersReadDelay returns the time until the next read of the worker list. It is
 // longer on VMs that do not own the fleet, which need the list only for advice
 // requests.
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -72,7 +72,9 @@
 	return fleet.RunLists{}, fleet.ReplyOK, nil
 }
 
-func (*fakeDeps) Workers(context.Context) ([]fleet.WorkerInfo, []error, error) { return nil, nil, nil }
+func (*fakeDeps) Workers(context.Context) (fleet.WorkerList, error) {
+	return fleet.WorkerList{}, nil
+}
 
 func (*fakeDeps) Counts(fleet.Counts)                {}
 func (*fakeDeps) Call(string, string, time.Duration) {}
@@ -255,8 +257,8 @@
 	newIncarnation = oldIncarnation.Add(time.Minute)
 )
 
-func (*restartedWorker) Workers(context.Context) ([]fleet.WorkerInfo, []error, error) {
-	return []fleet.WorkerInfo{{VM: core.VM{Name: "w", Service: "s"}, Incarnation: oldIncarnation}}, nil, nil
+func (*restartedWorker) Workers(context.Context) (fleet.WorkerList, error) {
+	return fleet.WorkerList{Workers: []fleet.WorkerInfo{{VM: core.VM{Name: "w", Service: "s"}, Incarnation: oldIncarnation}}}, nil
 }
 
 func (r *restartedWorker) Heartbeat(ctx context.Context, _ fleet.Order) (fleet.RunLists, fleet.Reply, error) {
