--- a/core/fleet/entry_test.go
+++ b/core/fleet/entry_test.go
@@ -33,8 +33,8 @@
 				other = f.workers[1]
 			}
 			odd.Leaving, odd.Renewals = leaving, 7
-			f.SetWorkers(f.now, fleet.WorkerList{Workers: []fleet.WorkerInfo{odd}})
-			unusable := fleet.WorkerList{Unusable: []fleet.UnusableEntry{{ID: odd.ID(), Err: fieldError{}}, {ID: "stranger", Err: fieldError{}}}}
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: []fleet.WorkerInfo{odd, other}})
+			unusable := fleet.WorkerList{Workers: []fleet.WorkerInfo{other}, Unusable: []fleet.UnusableEntry{{ID: odd.ID(), Err: fieldError{}}, {ID: "stranger", Err: fieldError{}}}}
 			for i := range 8 {
 				f.advance(500 * time.Millisecond)
 				f.SetWorkers(f.now, unusable)
@@ -42,9 +42,13 @@
 				f.heartbeat(other, nil, nil)
 				is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
 			}
-			f.Accept(f.now, newJob("k", 1, false))
-			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
-			f.SetWorkers(f.now, fleet.WorkerList{Workers: []fleet.WorkerInfo{odd}})
+			f.Accept(f.now, newJob("k", 6, false))
+			starts := f.nextOrders(fleet.OrderStart)
+			is.Equal(len(starts), 4) // the other worker has room for four
+			for _, o := range starts {
+				is.Equal(o.Worker, other.ID())
+			}
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: []fleet.WorkerInfo{odd, other}})
 			is.Equal(len(f.nextOrders(fleet.OrderStart)) == 0, leaving)
 		})
 	}
