A panic or a malformed message costs that message, not the process

Cause (report of another operator: one malformed message took a process down). Nothing recovered from a panic outside net/http. Found by reading and shown by tests: a job whose phase depends on a phase that it lacks, in a stored row or in a message of another VM, ended the owner, and every next owner that loaded it; a job of 4 tasks 2^62 times overflowed its check and was accepted; an empty outcome of a forwarded call was dereferenced; Deadline-Ms, estimates and starts overflowed when converted, with other results on other processors.

Change: io/guard turns panics into errors, which are logged with their stack and counted (chicoryturn_panics_total). Calls to the platform, messages between VMs, advice calls and handlers lose that call only; after a panic of its control state an owner loads the stored state again. Handlers of the loop that cannot do that (gate, sched) still end their process. Jobs are validated where they enter the scheduler, outcomes and names of rows where they are decoded, amounts and durations against bounds.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -17,6 +17,13 @@
 	maxTasks = 100_000
 	// maxPayload bounds the payload of a job, in bytes.
 	maxPayload = 4000
+	// maxAmount bounds each amount of room that a task needs, and maxDuration each
+	// duration, so that sums over a job do not overflow.
+	maxAmount   = 1 << 40
+	maxDuration = 365 * 24 * time.Hour
+	// maxYear bounds the year in which a repeated job starts; later times cannot be
+	// stored.
+	maxYear = 9000
 )
 
 // SpecError says why a job cannot be accepted.
@@ -94,16 +101,16 @@
 	if len(s.Phases) == 0 {
 		return &SpecError{"no phase is defined"}
 	}
-	if s.Repeat < 0 || s.Every < 0 {
-		return &SpecError{"the number of occurrences or their interval is negative"}
+	if s.Repeat < 0 || s.Repeat > maxTasks || s.Every < 0 || s.Every > maxDuration || s.First.Year() > maxYear {
+		return &SpecError{"the number of occurrences, their interval or their start is out of range"}
 	}
 	total := 0
 	for i, p := range s.Phases {
 		if p.Count < 1 || p.Count > maxTasks {
 			return &SpecError{fmt.Sprintf("phase %d has an invalid number of tasks: %d", i, p.Count)}
 		}
-		if p.Need.Cores < 0 || p.Need.Memory < 0 || p.Need.Accel < 0 || p.PerWorker < 0 {
-			return &SpecError{fmt.Sprintf("phase %d has a negative resource amount or a negative number of tasks per worker", i)}
+		if err := p.validateAmounts(); err != "" {
+			return &SpecError{fmt.Sprintf("phase %d has %s", i, err)}
 		}
 		for _, a := range p.After {
 			if a < 0 || a >= i {
@@ -118,6 +125,24 @@
 	return nil
 }
 
+// validateAmounts returns which amount of the phase is out of range, or "".
+func (p *Phase) validateAmounts() string {
+	for _, n := range []int64{p.Need.Cores, p.Need.Memory, p.Need.Accel} {
+		if n < 0 || n > maxAmount {
+			return "a resource amount out of range"
+		}
+	}
+	for _, d := range []time.Duration{p.Estimate, p.LatencyTarget} {
+		if d < 0 || d > maxDuration {
+			return "an estimate or latency target out of range"
+		}
+	}
+	if p.PerWorker < 0 {
+		return "a negative number of tasks per worker"
+	}
+	return ""
+}
+
 // Occurrences returns how often the phases run, which is at least once.
 func (s *Spec) Occurrences() int { return max(s.Repeat, 1) }
 
--- /dev/null
+++ b/core/jobs/jobs_test.go
@@ -0,0 +1,45 @@
+package jobs_test
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
+	"chicoryturn/core/jobs"
+)
+
+// TestValidate checks jobs with one value out of range each.
+func TestValidate(t *testing.T) {
+	valid := func() jobs.Spec {
+		return jobs.Spec{ID: "j", Phases: []jobs.Phase{{Count: 2, Need: core.Resources{Cores: 1000}, Estimate: time.Second}, {Count: 1, After: []int{0}}}}
+	}
+	s := valid()
+	is.New(t).NoErr(s.Validate())
+	for name, change := range map[string]func(*jobs.Spec){
+		"no phase":                func(s *jobs.Spec) { s.Phases = nil },
+		"no task":                 func(s *jobs.Spec) { s.Phases[0].Count = 0 },
+		"later phase":             func(s *jobs.Spec) { s.Phases[0].After = []int{1} },
+		"product overflows":       func(s *jobs.Spec) { s.Phases[0].Count, s.Repeat = 3, 1<<62 },
+		"negative occurrences":    func(s *jobs.Spec) { s.Repeat = -1 },
+		"interval too long":       func(s *jobs.Spec) { s.Every = math.MaxInt64 },
+		"start cannot be stored":  func(s *jobs.Spec) { s.First = time.UnixMilli(1 << 50) },
+		"cores too many":          func(s *jobs.Spec) { s.Phases[0].Need.Cores = math.MaxInt64 },
+		"negative memory":         func(s *jobs.Spec) { s.Phases[0].Need.Memory = -1 },
+		"estimate too long":       func(s *jobs.Spec) { s.Phases[0].Estimate = math.MaxInt64 },
+		"negative estimate":       func(s *jobs.Spec) { s.Phases[0].Estimate = -1 },
+		"latency target too long": func(s *jobs.Spec) { s.Phases[0].LatencyTarget = math.MaxInt64 },
+		"negative per worker":     func(s *jobs.Spec) { s.Phases[0].PerWorker = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := valid()
+			change(&s)
+			var specErr *jobs.SpecError
+			is.True(errors.As(s.Validate(), &specErr))
+		})
+	}
+}
--- a/io/advice/client.go
+++ b/io/advice/client.go
@@ -10,6 +10,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/io/guard"
 )
 
 const (
@@ -127,6 +128,11 @@
 func (c *Client) call(ctx context.Context, r fleet.AdviceRequest) Result {
 	ctx, cancel := context.WithTimeout(ctx, timeoutFactor*r.Cost+timeoutMargin)
 	defer cancel()
-	allowed, ttl, err := c.advisor.Advise(ctx, r.Phase, r.Workers)
-	return Result{Request: r, Allowed: allowed, TicketTTL: ttl, At: time.Now(), Err: err}
+	result := Result{Request: r}
+	result.Err = guard.Do(func() (err error) {
+		result.Allowed, result.TicketTTL, err = c.advisor.Advise(ctx, r.Phase, r.Workers)
+		return err
+	})
+	result.At = time.Now()
+	return result
 }
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -19,6 +19,7 @@
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/io/advice"
+	"chicoryturn/io/guard"
 	"chicoryturn/io/table"
 	"chicoryturn/io/wire"
 )
@@ -253,7 +254,7 @@
 		if _, ok := m.Kind.(*wire.Down_Resigned); ok {
 			return &ClosedError{"the owner has resigned"}
 		}
-		if err := c.handle(stream.Context(), m); err != nil {
+		if err := guard.Do(func() error { return c.handle(stream.Context(), m) }); err != nil {
 			c.log.WithError(err).Error("message dropped")
 		}
 	}
--- a/io/link/forward.go
+++ b/io/link/forward.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"chicoryturn/io/guard"
 	"chicoryturn/io/table"
 	"chicoryturn/io/wire"
 )
@@ -98,6 +99,9 @@
 		if !ok {
 			return table.Outcome{NoAnswer: "the stream has ended"}, nil
 		}
+		if !o.Matches(call) {
+			return table.Outcome{NoAnswer: "the other VM has sent the outcome of another call"}, nil
+		}
 		return o, nil
 	case <-ctx.Done():
 		return table.Outcome{NoAnswer: ctx.Err().Error()}, nil
@@ -124,7 +128,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		defer cancel()
-		body, err := json.Marshal(f.handler(ctx, call))
+		outcome, err := guard.Call(func() (table.Outcome, error) { return f.handler(ctx, call), nil })
+		if err != nil {
+			outcome = table.Outcome{NoAnswer: err.Error()}
+		}
+		body, err := json.Marshal(outcome)
 		if err != nil {
 			// Without a message, the other side times out and treats the outcome
 			// as unknown.
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -130,3 +130,44 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// oddTable answers its first call, then panics once, and then returns outcomes that
+// belong to no call.
+type oddTable struct{ calls atomic.Int64 }
+
+func (p *oddTable) handle(context.Context, table.Call) table.Outcome {
+	switch p.calls.Add(1) {
+	case 1:
+		return table.Outcome{Done: &table.WriteResult{Version: 3}}
+	case 2:
+		panic("odd call")
+	default:
+		return table.Outcome{}
+	}
+}
+
+// TestOddForwardedCalls forwards calls that panic on the other VM, or whose outcome is
+// malformed. It is then unknown, and the stream must stay open.
+func TestOddForwardedCalls(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := &fakeOwner{}
+	srv := link.NewServer(o, "owner/1", (&oddTable{}).handle, discardLog())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Stop()
+	c := link.NewClient("vm-1", "z", o, o, (&fakeTable{}).handle, discardLog())
+	go func() { _ = c.Run(ctx) }()
+	c.SetOwner(link.OwnerAddr{Addr: netip.MustParseAddrPort(l.Addr().String()), Session: "owner/1"})
+	for !c.Connected() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, answered := range []bool{true, false, false} {
+		outcome, err := c.Forward(ctx, table.Call{Write: &table.Txn{}})
+		is.NoErr(err)
+		is.Equal(outcome.NoAnswer == "", answered)
+	}
+	is.Equal(o.peers.Load(), int64(1))
+}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -14,6 +14,7 @@
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/io/advice"
+	"chicoryturn/io/guard"
 	"chicoryturn/io/owner"
 	"chicoryturn/io/table"
 	"chicoryturn/io/wire"
@@ -235,7 +236,7 @@
 		if err != nil {
 			return err
 		}
-		if err := s.handle(ctx, p, m); err != nil {
+		if err := guard.Do(func() error { return s.handle(ctx, p, m) }); err != nil {
 			s.log.WithError(err).WithField("vm", p.name).Error("message dropped")
 		}
 	}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"chicoryturn/io/guard"
 )
 
 // mailboxSize is the capacity of the mailbox. A sender blocks while it is full.
@@ -24,6 +26,18 @@
 	Tick(now time.Time) time.Time
 }
 
+// Recoverer is a Handler that can go on after one of its methods has panicked, although
+// its state may be inconsistent. After a panic of any other handler the process ends.
+type Recoverer interface {
+	Handler
+	// Recover restores the state after a panic.
+	Recover(now time.Time, err error)
+}
+
+// recoverDelay is the time from a panic to the next call of Tick, so that a handler that
+// always panics does not keep the processor busy.
+const recoverDelay = 100 * time.Millisecond
+
 // StoppedError reports that the loop has stopped and no longer handles messages.
 type StoppedError struct{}
 
@@ -80,13 +94,38 @@
 		case <-l.ctx.Done():
 			return nil
 		case m := <-l.mailbox:
-			h.Handle(time.Now(), m)
+			handle(h, m)
 			l.handleQueued(h)
 		case <-timer.C:
 		}
-		now := time.Now()
-		timer.Reset(time.Until(h.Tick(now)))
+		timer.Reset(time.Until(tick(h, time.Now())))
+	}
+}
+
+// handle handles one message. A panic costs that message if the handler can recover.
+func handle(h Handler, m Message) {
+	r, ok := h.(Recoverer)
+	if !ok {
+		h.Handle(time.Now(), m)
+		return
+	}
+	if err := guard.Do(func() error { r.Handle(time.Now(), m); return nil }); err != nil {
+		r.Recover(time.Now(), err)
+	}
+}
+
+// tick does the work that is due and returns the time of the next call.
+func tick(h Handler, now time.Time) time.Time {
+	r, ok := h.(Recoverer)
+	if !ok {
+		return h.Tick(now)
+	}
+	next, err := guard.Call(func() (time.Time, error) { return r.Tick(now), nil })
+	if err != nil {
+		r.Recover(time.Now(), err)
+		return now.Add(recoverDelay)
 	}
+	return next
 }
 
 // handleQueued handles the messages already in the mailbox, so that Tick does not run
@@ -96,7 +135,7 @@
 	for range mailboxSize {
 		select {
 		case m := <-l.mailbox:
-			h.Handle(time.Now(), m)
+			handle(h, m)
 		default:
 			return
 		}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,6 +25,7 @@
 	"chicoryturn/io/advice"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/entry"
+	"chicoryturn/io/guard"
 	"chicoryturn/io/link"
 	"chicoryturn/io/logbuf"
 	"chicoryturn/io/loop"
@@ -256,6 +257,7 @@
 
 // httpServer starts an HTTP server that is closed when the context ends.
 func (n *Node) httpServer(ctx context.Context, g *errgroup.Group, l net.Listener, h http.Handler) *http.Server {
+	h = guard.Handler(h, func(err error) { n.logger("node").WithError(err).Error("panic in a handler; the request is lost") })
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
 	g.Go(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -305,7 +307,7 @@
 func (n *Node) watchPolicy(ctx context.Context) error {
 	log := n.logger("config")
 	for ctx.Err() == nil {
-		p, version, err := n.lister.Policy(ctx)
+		p, version, err := readPolicy(func() (*policy.Policy, uint64, error) { return n.lister.Policy(ctx) })
 		if err != nil {
 			log.WithError(err).Warn("cannot read the configuration")
 			clock.Sleep(ctx, policyRetryDelay)
@@ -313,7 +315,7 @@
 		}
 		n.setPolicy(p)
 		for ctx.Err() == nil {
-			p, version, err = n.lister.AwaitPolicy(ctx, version, policyWait)
+			p, version, err = readPolicy(func() (*policy.Policy, uint64, error) { return n.lister.AwaitPolicy(ctx, version, policyWait) })
 			if err != nil {
 				var compacted *table.CompactedError
 				if !errors.As(err, &compacted) {
@@ -328,6 +330,15 @@
 	return nil
 }
 
+// readPolicy reads the configuration. A panic counts as a failed read.
+func readPolicy(read func() (*policy.Policy, uint64, error)) (p *policy.Policy, version uint64, err error) {
+	err = guard.Do(func() (err error) {
+		p, version, err = read()
+		return err
+	})
+	return p, version, err
+}
+
 // setPolicy applies a configuration unless it is nil or not newer than the
 // current one.
 func (n *Node) setPolicy(p *policy.Policy) {
@@ -348,6 +359,7 @@
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.GetOrCreateCounter("chicoryturn_log_lines_dropped_total").Set(n.logBuf.Dropped())
+		metrics.GetOrCreateCounter("chicoryturn_panics_total").Set(guard.Caught())
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) {
--- a/io/node/reload.go
+++ b/io/node/reload.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"chicoryturn/io/guard"
 )
 
 // watchSettings applies changes of the settings, which it reads after a signal
@@ -22,7 +24,7 @@
 			n.logger("node").Info("reload signal received")
 		case <-ticker.C:
 		}
-		changed, err := n.platform.Settings()
+		changed, err := guard.Call(n.platform.Settings)
 		switch {
 		case err != nil && err.Error() != lastError:
 			lastError = err.Error()
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -11,6 +11,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/io/clock"
+	"chicoryturn/io/guard"
 	"chicoryturn/io/record"
 	"chicoryturn/io/table"
 )
@@ -47,7 +48,7 @@
 	o.recordReadInFlight = true
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		began := time.Now()
-		obs, err := o.records.OwnerRecord(ctx)
+		obs, err := guard.Call(func() (elect.Observation, error) { return o.records.OwnerRecord(ctx) })
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.recordReadInFlight = false
@@ -174,7 +175,7 @@
 	epoch, rosterVersion := next.Epoch, o.rosterVersion
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		began := time.Now()
-		result, err := o.records.Write(ctx, write)
+		result, err := guard.Call(func() (table.WriteResult, error) { return o.records.Write(ctx, write) })
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.recordWriteInFlight = false
@@ -255,7 +256,7 @@
 	epoch := current.Epoch
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		began := time.Now()
-		snapshot, err := o.records.Load(ctx)
+		snapshot, err := guard.Call(func() (*record.Snapshot, error) { return o.records.Load(ctx) })
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.snapshotLoadInFlight = false
@@ -326,7 +327,7 @@
 		o.rosterToStore, o.rosterVersion = nil, 0
 		o.meter.SetOwning(true)
 	}
-	o.scheduler.Load(now, snapshot.Specs, snapshot.Progress)
+	o.scheduler.Load(now, o.validSpecs(snapshot.Specs), snapshot.Progress)
 	for _, id := range snapshot.Cancelled {
 		o.scheduler.Cancel(now, id)
 	}
@@ -368,7 +369,7 @@
 	o.recordWriteInFlight = true
 	o.discardScheduler("the process is stopping")
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		_, err := o.records.Write(ctx, write)
+		_, err := guard.Call(func() (table.WriteResult, error) { return o.records.Write(ctx, write) })
 		return func(o *Owner, _ time.Time) {
 			o.recordWriteInFlight = false
 			o.log.WithField("error", err).Info("ownership release attempted")
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -8,6 +8,7 @@
 
 	"chicoryturn/core/fleet"
 	"chicoryturn/io/clock"
+	"chicoryturn/io/guard"
 )
 
 // maxOrderAge is the longest time between the decision on an order and its
@@ -26,16 +27,19 @@
 				return o.replyHandler(ord, sent, fleet.RunLists{}, fleet.ReplyNotSent, nil)
 			}
 			var lists fleet.RunLists
-			var r fleet.Reply
-			var err error
-			switch ord.Kind {
-			case fleet.OrderStart:
-				r, err = o.workers.Start(ctx, ord)
-			case fleet.OrderStop:
-				r, err = o.workers.Stop(ctx, ord)
-			case fleet.OrderHeartbeat:
-				lists, r, err = o.workers.Heartbeat(ctx, ord)
-			}
+			// A panic leaves open what the worker does.
+			r := fleet.ReplyUnanswered
+			err := guard.Do(func() (err error) {
+				switch ord.Kind {
+				case fleet.OrderStart:
+					r, err = o.workers.Start(ctx, ord)
+				case fleet.OrderStop:
+					r, err = o.workers.Stop(ctx, ord)
+				case fleet.OrderHeartbeat:
+					lists, r, err = o.workers.Heartbeat(ctx, ord)
+				}
+				return err
+			})
 			o.meter.Call(callNames[ord.Kind], r.String(), time.Since(sent))
 			return o.replyHandler(ord, sent, lists, r, err)
 		})
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,7 @@
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
 	"chicoryturn/io/clock"
+	"chicoryturn/io/guard"
 	"chicoryturn/io/loop"
 	"chicoryturn/io/record"
 	"chicoryturn/io/table"
@@ -225,6 +227,17 @@
 	})
 }
 
+// Recover implements loop.Recoverer. The scheduler may be inconsistent after a panic:
+// the process loads the stored state again, as after any loss of its own state.
+func (o *Owner) Recover(_ time.Time, err error) {
+	o.log.WithError(err).Error("panic in the control goroutine; the message is lost")
+	o.unappliedSnapshot = nil
+	o.discardScheduler("a panic")
+	if o.election.IsHolder() {
+		o.retryLoad()
+	}
+}
+
 // Tick implements loop.Handler.
 func (o *Owner) Tick(now time.Time) time.Time {
 	maySendOrders := o.election.CheckSuspension(clock.BootTime(), clock.Monotonic())
@@ -297,7 +310,7 @@
 	}
 	o.workersReadInFlight = true
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		list, err := o.lister.Workers(ctx)
+		list, err := guard.Call(func() (fleet.WorkerList, error) { return o.lister.Workers(ctx) })
 		return func(o *Owner, now time.Time) {
 			o.workersReadInFlight = false
 			o.nextWorkersRead = now.Add(o.workersReadDelay())
@@ -357,7 +370,7 @@
 	o.changesReadInFlight = true
 	after, epoch := o.changesVersion, o.scheduler.Epoch()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		changes, err := o.records.Changes(ctx, after)
+		changes, err := guard.Call(func() (record.Snapshot, error) { return o.records.Changes(ctx, after) })
 		return func(o *Owner, now time.Time) {
 			o.changesReadInFlight = false
 			o.nextChangesRead = now.Add(o.changesInterval)
@@ -379,7 +392,7 @@
 		}
 	}
 	o.changesInterval = min(2*o.changesInterval, maxChangesInterval)
-	for _, s := range changes.Specs {
+	for _, s := range o.validSpecs(changes.Specs) {
 		if o.scheduler.Accept(now, s) {
 			o.changesInterval = minChangesInterval
 			o.log.WithFields(logrus.Fields{"job": s.ID, "queue": s.Queue}).Info("job found in the store")
@@ -397,6 +410,18 @@
 	}
 }
 
+// validSpecs returns the jobs that the scheduler can handle. Another writer or build may
+// have left others.
+func (o *Owner) validSpecs(specs []jobs.Spec) []jobs.Spec {
+	return slices.DeleteFunc(specs, func(s jobs.Spec) bool {
+		err := s.Validate()
+		if err != nil {
+			o.log.WithError(err).WithField("job", s.ID).Error("skipping a job that is invalid")
+		}
+		return err != nil
+	})
+}
+
 // deleteExpired deletes the rows of jobs whose retention period after their end has
 // passed.
 func (o *Owner) deleteExpired(now time.Time) {
@@ -411,7 +436,7 @@
 	o.deleteInFlight = true
 	epoch := o.scheduler.Epoch()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		err := o.records.Delete(ctx, ids)
+		err := guard.Do(func() error { return o.records.Delete(ctx, ids) })
 		return func(o *Owner, _ time.Time) {
 			o.deleteInFlight = false
 			if err != nil {
--- a/io/owner/requests.go
+++ b/io/owner/requests.go
@@ -45,7 +45,7 @@
 // advice request for the job's first phase in flight; it is empty if there is none.
 func (o *Owner) JobAccepted(spec jobs.Spec, requester string) {
 	o.post(func(o *Owner, now time.Time) {
-		if o.scheduler == nil {
+		if o.scheduler == nil || len(o.validSpecs([]jobs.Spec{spec})) == 0 {
 			return
 		}
 		o.scheduler.Accept(now, spec)
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -51,6 +52,12 @@
 	maxParallelReads = 32
 )
 
+// NameError reports a row that holds the state of another job than its name says.
+type NameError struct{ Job string }
+
+// Error implements error.
+func (e *NameError) Error() string { return fmt.Sprintf("the row is about job %q", e.Job) }
+
 // Reachability reports whether the table can be reached.
 type Reachability interface {
 	Unreachable() bool
@@ -277,6 +284,10 @@
 		s.RowErrors = append(s.RowErrors, err)
 		return
 	}
+	if string(spec.ID) != row.Name {
+		s.RowErrors = append(s.RowErrors, &table.FormatError{Subject: row.Table + "/" + row.Name, Err: &NameError{string(spec.ID)}})
+		return
+	}
 	s.Specs = append(s.Specs, spec)
 }
 
@@ -287,6 +298,10 @@
 		s.RowErrors = append(s.RowErrors, err)
 		return
 	}
+	if string(p.Job) != row.Name {
+		s.RowErrors = append(s.RowErrors, &table.FormatError{Subject: row.Table + "/" + row.Name, Err: &NameError{string(p.Job)}})
+		return
+	}
 	s.Progress[p.Job] = p
 }
 
--- a/io/table/call.go
+++ b/io/table/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+
+	"chicoryturn/io/guard"
 )
 
 // Client makes calls to the table.
@@ -44,28 +46,43 @@
 // could be made.
 const statusUnreachable = -1
 
-// Do makes a call for another VM.
+// Do makes a call for another VM. A panic leaves its outcome unknown.
 func Do(ctx context.Context, client Client, c Call) Outcome {
-	var o Outcome
-	var err error
+	o, err := guard.Call(func() (Outcome, error) { return do(ctx, client, c) })
+	if err != nil {
+		return failure(err)
+	}
+	return o
+}
+
+func do(ctx context.Context, client Client, c Call) (Outcome, error) {
 	switch {
 	case c.Write != nil:
-		var done WriteResult
-		done, err = client.Write(ctx, *c.Write)
-		o.Done = &done
+		done, err := client.Write(ctx, *c.Write)
+		return Outcome{Done: &done}, err
 	case c.Read != nil:
-		var p Page
-		p, err = client.Read(ctx, *c.Read)
-		o.Page = &p
+		p, err := client.Read(ctx, *c.Read)
+		return Outcome{Page: &p}, err
 	case c.Feed != nil:
-		var ch Changes
-		ch, err = client.Feed(ctx, *c.Feed)
-		o.Changes = &ch
+		ch, err := client.Feed(ctx, *c.Feed)
+		return Outcome{Changes: &ch}, err
 	}
-	if err != nil {
-		return failure(err)
+	return Outcome{}, &RelayError{"the call is empty"}
+}
+
+// Matches reports whether o can be the outcome of a call: the outcomes of other VMs may
+// be malformed.
+func (o Outcome) Matches(c Call) bool {
+	switch {
+	case o.Err() != nil:
+		return true
+	case c.Write != nil:
+		return o.Done != nil
+	case c.Read != nil:
+		return o.Page != nil
+	default:
+		return o.Changes != nil
 	}
-	return o
 }
 
 // failure returns the outcome of a call that has failed with err.
