--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -104,7 +104,7 @@
 	if s.Repeat < 0 || s.Repeat > maxTasks || s.Every < 0 || s.Every > maxDuration || s.First.Year() > maxYear {
 		return &SpecError{"the number of occurrences, their interval or their start is out of range"}
 	}
-	total := 0
+	total, estimate := 0, time.Duration(0)
 	for i, p := range s.Phases {
 		if p.Count < 1 || p.Count > maxTasks {
 			return &SpecError{fmt.Sprintf("phase %d has an invalid number of tasks: %d", i, p.Count)}
@@ -118,6 +118,9 @@
 			}
 		}
 		total += p.Count
+		if estimate += p.Estimate; estimate > maxDuration {
+			return &SpecError{"the sum of all estimates is out of range"}
+		}
 	}
 	if n := total * s.Occurrences(); n > maxTasks {
 		return &SpecError{fmt.Sprintf("%d tasks exceed the limit of %d", n, maxTasks)}
