--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -317,18 +317,27 @@
 	slices.SortFunc(teams, func(a, b core.Team) int {
 		return cmp.Or(cmp.Compare(c.weightedUsage(a), c.weightedUsage(b)), cmp.Compare(a, b))
 	})
+	// localFull is set once a request that must stay in this region has found no target.
+	localFull := false
 	for _, team := range teams {
 		if c.allocator.Available(CallsRow(team)) <= 0 {
 			continue
 		}
 		for _, r := range byTeam[team] {
+			mayUseRemote := c.mayUseRemote(r)
+			if localFull && !mayUseRemote {
+				continue
+			}
 			if t := c.pickTarget(r); t != nil {
 				return r, t
 			}
-			// If a request that excludes no target finds none, no other request of
-			// the service is tried.
-			if len(r.excluded) == 0 {
+			switch {
+			case len(r.excluded) > 0:
+			case mayUseRemote:
+				// No other request of the service finds a target either.
 				return nil, nil
+			default:
+				localFull = true
 			}
 		}
 	}
--- a/core/admit/controller_test.go
+++ b/core/admit/controller_test.go
@@ -133,3 +133,31 @@
 	_, granted := events[0].Target.Get()
 	is.True(granted)
 }
+
+// TestRemoteTarget fills all targets of the region. A request of one team that has
+// waited long enough for another region must not wait behind newer ones of another team,
+// and targets that are no longer listed must be forgotten.
+func TestRemoteTarget(t *testing.T) {
+	is := is.New(t)
+	rule := newRule(true)
+	rule.Backlog = 10
+	f := newFixture(1, 2, rule)
+	far := core.VM{Name: "far", Kind: "target", Region: "x", Zone: "x-a", Service: "s", Slots: 4, Addr: netip.MustParseAddrPort("127.0.0.1:2")}
+	near := core.VM{Name: "t0", Kind: "target", Region: "r", Zone: "r-a", Service: "s", Slots: 2, Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+	f.ctrl.SetTargets(f.now, []core.VM{near, far})
+	f.admit()
+	f.admit() // team a holds both slots here
+	is.Equal(len(f.admit()), 0)
+	f.now = f.now.Add(150 * time.Millisecond)
+	f.lastID++
+	events := f.ctrl.Admit(f.now, admit.Request{ID: f.lastID, Team: "b", Rule: f.rule}) // team b uses less
+	for range 3 {
+		f.ctrl.UpdateDemand()
+		f.grantAll()
+		events = append(events, f.ctrl.Tick(f.now)...)
+	}
+	is.True(len(events) > 0)
+	is.Equal(events[0].ID, uint64(3))
+	f.ctrl.SetTargets(f.now, []core.VM{far})
+	is.Equal(len(f.ctrl.Targets()), 1)
+}
--- a/core/admit/target.go
+++ b/core/admit/target.go
@@ -95,6 +95,9 @@
 		t := c.targets[name]
 		if !listed.Has(name) {
 			t.fire(targetUnlist)
+			// Requests in flight keep the target until they end.
+			delete(c.targets, name)
+			continue
 		}
 		c.byService[t.vm.Service] = append(c.byService[t.vm.Service], t)
 		if t.state == targetLive && !t.isRemote() {
--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -175,7 +175,11 @@
 // should write a claim now.
 func (e *Election) Observe(now time.Time, o Observation) bool {
 	rec, version := o.Record, o.Version
-	if version < e.version {
+	if version == 0 {
+		// The row may have been deleted. Its holder may still act on it, and the next
+		// owner needs a later epoch.
+		rec = e.record
+	} else if version < e.version {
 		return false
 	}
 	e.setStoreClock(now, o.Clock)
@@ -206,7 +210,7 @@
 	}
 	wait := e.claimDelay
 	switch {
-	case version == 0 || rec.Holder == "":
+	case rec.Holder == "":
 	case rec.VM == e.self.VM || rec.Holder == e.endedHolder:
 		// Only one process at a time can bind the VM's address, so an earlier
 		// holder on this VM has ended.
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -46,6 +46,28 @@
 	is.True(e.Owning())
 }
 
+// TestDeletedRecord deletes the ownership record. Its holder must write it again, and
+// another process must claim it after TTL, with a later epoch than the last one.
+func TestDeletedRecord(t *testing.T) {
+	is := is.New(t)
+	owner, rec := newOwner()
+	is.True(!owner.Observe(at(100), elect.Observation{}))
+	renewed, version := owner.NextRecord(at(100))
+	is.True(owner.Owning())
+	is.Equal(renewed.Epoch, rec.Epoch)
+	is.Equal(version, uint64(0))
+
+	watcher := newElection()
+	watcher.Observe(at(0), elect.Observation{Record: otherRecord(1), Version: 7})
+	is.True(!watcher.Observe(at(700), elect.Observation{}))
+	for ms := 1400; ms <= 3500; ms += 700 {
+		is.Equal(watcher.Observe(at(ms), elect.Observation{}), ms == 3500)
+	}
+	claim, version := watcher.NextRecord(at(3500))
+	is.Equal(uint64(claim.Epoch), uint64(4))
+	is.Equal(version, uint64(0))
+}
+
 // TestClaimAfterTTL checks that a process claims only a record that it has seen
 // unchanged for TTL without a gap in its reads. The rows of each case are reads:
 // their time, the version read, and whether the process must claim.
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -1,11 +1,13 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"chicoryturn/core"
 	"chicoryturn/core/fleet"
 )
 
@@ -153,3 +155,28 @@
 	f.heartbeat(f.workers[0], nil, doneEnd(1, s))
 	is.Equal(f.nextOrders(fleet.OrderHeartbeat)[0].AckedEnd, uint64(1))
 }
+
+// TestTrimmedJobs ends more jobs than are kept in memory. The rows of all of them must
+// be deleted after their retention period.
+func TestTrimmedJobs(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 0)
+	const count = 8100
+	for i := range count {
+		id := core.JobID(fmt.Sprintf("j%d", i))
+		f.Accept(f.now, newJob(string(id), 1, false))
+		f.Cancel(f.now, id)
+	}
+	f.Tick(f.now)
+	for len(f.Batch()) > 0 {
+		f.BatchStored(f.now)
+	}
+	f.advance(time.Minute)
+	deleted := core.NewSet[core.JobID]()
+	for range count {
+		for _, id := range f.ForgetExpired(f.now, time.Second, 20) {
+			deleted.Add(id)
+		}
+	}
+	is.Equal(len(deleted), count)
+}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -101,8 +101,10 @@
 	// the store; those up to inFlightSeq will be once the batch in flight is
 	// stored.
 	changeSeq, inFlightSeq, storedSeq uint64
-	// closed holds the jobs whose end has been stored, the oldest end first.
-	closed []closedJob
+	// closed holds the jobs whose end has been stored and whose rows have not been
+	// deleted, the oldest end first. The first trimmed ones are no longer in jobs.
+	closed  []closedJob
+	trimmed int
 
 	// orders, decisions and refusedEvents hold what the caller has not collected
 	// yet.
@@ -388,15 +390,15 @@
 	}
 	s.inFlight = nil
 	s.storedSeq = s.inFlightSeq
-	for len(s.closed) > maxClosedJobs {
-		s.forgetOldest()
+	for ; len(s.closed)-s.trimmed > maxClosedJobs; s.trimmed++ {
+		s.forget(s.closed[s.trimmed].job)
 	}
 }
 
 // forgetOldest forgets the job whose end was stored first and returns its ID.
 func (s *Scheduler) forgetOldest() core.JobID {
 	id := s.closed[0].job
-	s.closed = s.closed[1:]
+	s.closed, s.trimmed = s.closed[1:], max(s.trimmed-1, 0)
 	s.forget(id)
 	return id
 }
--- a/io/agent/config.go
+++ b/io/agent/config.go
@@ -359,6 +359,7 @@
 			return v, nil
 		case errors.As(err, &conflict):
 			if hasNonce(conflict, c.Nonce) {
+				a.changeAccepted(v)
 				return v, nil
 			}
 			if !commutes {
@@ -369,6 +370,7 @@
 			if written, readErr := a.wasWritten(ctx, v, c.Nonce); readErr != nil {
 				return 0, core.RefuseUnknown(core.CodeStoreUnavailable, err, "the change may or may not have been accepted as version %d", v)
 			} else if written {
+				a.changeAccepted(v)
 				return v, nil
 			}
 		}
--- a/io/agent/limits.go
+++ b/io/agent/limits.go
@@ -198,6 +198,7 @@
 	a.loop.Go(func(ctx context.Context) loop.Message {
 		for _, session := range dead {
 			if err := a.reclaimSession(ctx, session); err != nil {
+				a.log.WithError(err).WithField("session", session.ID).Warn("cannot reclaim the parts of a dead process; will retry")
 				break
 			}
 		}
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -18,6 +18,7 @@
 	"chicoryturn/core/rules"
 	"chicoryturn/io/httpx"
 	"chicoryturn/io/loop"
+	"chicoryturn/io/once"
 )
 
 const (
@@ -240,18 +241,18 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.rule.MaxWait)
 	defer cancel()
-	result := c.gate.intents.record(ctx, intentKey("call", c.team, key), intent{
+	result := c.gate.intents.Record(ctx, once.Key("call", c.team, key), once.Intent{
 		Gate: c.gate.Agent.InitialSession(), Nonce: rand.Text(), At: time.Now().UTC(),
 	})
-	if result.err != nil {
+	if result.Err != nil {
 		e := core.Refuse(core.CodeStoreUnavailable, "the idempotency key cannot be recorded")
-		e.Err = result.err
+		e.Err = result.Err
 		e.RetryAfter = time.Second
 		return e
 	}
-	if !result.isFirst {
+	if !result.IsFirst {
 		e := core.RefuseUnknown(core.CodeAlreadySent, nil, "the request with this key was first sent through %s at %s",
-			result.earlier.Gate, result.earlier.At.Format(time.RFC3339))
+			result.Earlier.Gate, result.Earlier.At.Format(time.RFC3339))
 		return e
 	}
 	return nil
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -18,6 +18,7 @@
 	"chicoryturn/core/rules"
 	"chicoryturn/io/agent"
 	"chicoryturn/io/loop"
+	"chicoryturn/io/once"
 	"chicoryturn/io/peer"
 )
 
@@ -61,7 +62,7 @@
 	log       *logrus.Entry
 	admission *admit.Controller
 	ledger    *ledger.Ledger
-	intents   *intentWriter
+	intents   *once.Writer
 	transport http.RoundTripper
 	// eventChans holds, by request ID, the channel to the traffic goroutine of each
 	// request that has not ended.
@@ -88,7 +89,7 @@
 		admission: admit.New(m.Self().Region, m.Self().Zone, slots), transport: newTransport(),
 		eventChans: map[uint64]chan<- admit.Event{}, drained: make(chan struct{}),
 	}
-	g.intents = newIntentWriter(st)
+	g.intents = once.NewWriter(st)
 	g.Agent = agent.New(l, st, p, g, m, log)
 	g.Agent.AddLedger(slots, "slots/", "calls/")
 	return g
@@ -344,7 +345,7 @@
 	if !g.draining || g.sessionEnding {
 		return
 	}
-	if waiting, sending := g.admission.RequestCounts(); waiting+sending > 0 || g.intents.inFlight() > 0 {
+	if waiting, sending := g.admission.RequestCounts(); waiting+sending > 0 || g.intents.InFlight() > 0 {
 		return
 	}
 	g.ledger.ZeroTotals(func(string) bool { return false })
--- a/io/gate/jobs.go
+++ b/io/gate/jobs.go
@@ -18,6 +18,7 @@
 	"chicoryturn/core/rules"
 	"chicoryturn/io/httpx"
 	"chicoryturn/io/loop"
+	"chicoryturn/io/once"
 )
 
 const (
@@ -212,16 +213,16 @@
 	if key == "" {
 		return nil
 	}
-	result := g.intents.record(r.Context(), intentKey("job", spec.Team, key), intent{
+	result := g.intents.Record(r.Context(), once.Key("job", spec.Team, key), once.Intent{
 		Gate: g.Agent.InitialSession(), Nonce: rand.Text(), Job: spec.ID, At: spec.Submitted,
 	})
-	if result.err != nil {
+	if result.Err != nil {
 		e := core.Refuse(core.CodeStoreUnavailable, "the idempotency key cannot be recorded")
-		e.Err = result.err
+		e.Err = result.Err
 		return e
 	}
-	if !result.isFirst {
-		spec.ID = result.earlier.Job
+	if !result.IsFirst {
+		spec.ID = result.Earlier.Job
 	}
 	return nil
 }
--- a/io/gate/mux.go
+++ b/io/gate/mux.go
@@ -32,7 +32,7 @@
 // Run runs the gate's control goroutine until the context ends.
 func (g *Gate) Run(ctx context.Context) error {
 	g.loop.Go(func(context.Context) loop.Message {
-		_ = g.intents.run(ctx)
+		_ = g.intents.Run(ctx)
 		return nil
 	})
 	return g.loop.Run(g)
--- a/io/httpx/httpx.go
+++ b/io/httpx/httpx.go
@@ -186,8 +186,14 @@
 		WriteError(w, err)
 		return
 	}
-	// Without a valid base, the rules replace any version in force.
-	base, _ := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	// Without a base, the rules replace any version in force.
+	base := uint64(0)
+	if given := r.URL.Query().Get("base"); given != "" {
+		if base, err = strconv.ParseUint(given, 10, 64); err != nil {
+			WriteError(w, core.Refuse(core.CodeBadInput, "base %q is not a version", given))
+			return
+		}
+	}
 	v, err := o.agent.PushRules(r.Context(), text, core.Version(base), operatorName(r))
 	respond(w)(ChangeResult{Version: v}, err)
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -58,6 +58,12 @@
 // Error implements error.
 func (e *FormatError) Error() string { return fmt.Sprintf("invalid message from a peer: %s", e.Reason) }
 
+// AdviceError reports an advice request that has failed on another VM.
+type AdviceError struct{}
+
+// Error implements error.
+func (*AdviceError) Error() string { return "the advice request failed" }
+
 var clientKeepAlive = keepalive.ClientParameters{Time: keepAliveInterval, Timeout: keepAliveTimeout, PermitWithoutStream: true}
 
 // keepAlivePolicy allows twice as many pings as clients send.
@@ -130,7 +136,7 @@
 		r.Allowed = append(r.Allowed, fleet.AllowedWorker{Worker: core.WorkerID(a.Allowed[i]), Ticket: a.Tickets[i]})
 	}
 	if a.Failed {
-		r.Err = &FormatError{"the advice request failed"}
+		r.Err = &AdviceError{}
 	}
 	return r, nil
 }
--- a/io/gate/intent.go
+++ b/io/once/once.go
@@ -1,4 +1,6 @@
-package gate
+// Package once records the first attempt under each idempotency key, so that a repeated
+// request or job finds it through any gate.
+package once
 
 import (
 	"context"
@@ -10,7 +12,6 @@
 	"time"
 
 	"chicoryturn/core"
-	"chicoryturn/io/agent"
 	"chicoryturn/io/store"
 )
 
@@ -28,8 +29,8 @@
 	intentWriteInterval = 5 * time.Millisecond
 )
 
-// intent is the stored form of the first attempt under an idempotency key.
-type intent struct {
+// Intent is the stored form of the first attempt under an idempotency key.
+type Intent struct {
 	Gate core.SessionID
 	// Nonce is random; a gate whose write was not answered recognizes its own
 	// row by it.
@@ -42,65 +43,85 @@
 // queuedIntent is an intent that has not been recorded yet.
 type queuedIntent struct {
 	key    string
-	intent intent
-	reply  chan recordResult
+	intent Intent
+	reply  chan Result
+	// duplicates are later intents under the same key, which wait for this one.
+	duplicates []*queuedIntent
 }
 
-// recordResult is the result of recording an intent.
-type recordResult struct {
-	// isFirst is set if no intent had been recorded under the key before.
-	isFirst bool
-	// earlier is the intent recorded under the key before, if any.
-	earlier intent
-	err     error
+// answer sends the result of an intent. Its duplicates get the intent that is recorded
+// under the key; if it is not known whether one is, they get the error.
+func (q *queuedIntent) answer(result Result) {
+	q.reply <- result
+	if result.IsFirst {
+		result = Result{Earlier: q.intent}
+	}
+	for _, d := range q.duplicates {
+		d.reply <- result
+	}
+}
+
+// Result is the result of recording an intent.
+type Result struct {
+	// IsFirst is set if no intent had been recorded under the key before.
+	IsFirst bool
+	// Earlier is the intent recorded under the key before, if any.
+	Earlier Intent
+	Err     error
 }
 
-// intentWriter records intents. The gate sends a request or a job that has an
+// Store writes rows of the store.
+type Store interface {
+	Write(ctx context.Context, t store.Txn) (uint64, error)
+}
+
+// Writer records intents. The gate sends a request or a job that has an
 // idempotency key only after its intent has been recorded. Intents that arrive
 // while a write is in flight share the next write, so that the rate of writes
 // does not grow with the rate of requests.
-type intentWriter struct {
-	store agent.Store
+type Writer struct {
+	store Store
 	queue chan *queuedIntent
-	// recording counts the calls of record that have not returned.
+	// recording counts the calls of Record that have not returned.
 	recording atomic.Int64
 }
 
-func newIntentWriter(s agent.Store) *intentWriter {
-	return &intentWriter{store: s, queue: make(chan *queuedIntent, maxQueuedIntents)}
+// NewWriter returns a writer that records intents while Run runs.
+func NewWriter(s Store) *Writer {
+	return &Writer{store: s, queue: make(chan *queuedIntent, maxQueuedIntents)}
 }
 
-// inFlight returns the number of intents that are being recorded.
-func (w *intentWriter) inFlight() int64 { return w.recording.Load() }
+// InFlight returns the number of intents that are being recorded.
+func (w *Writer) InFlight() int64 { return w.recording.Load() }
 
-// intentKey returns the key of the row that holds the intent of a team's
+// Key returns the key of the row that holds the intent of a team's
 // idempotency key. Kind is "call" or "job".
-func intentKey(kind string, team core.Team, key string) string {
+func Key(kind string, team core.Team, key string) string {
 	sum := sha256.Sum256([]byte(string(team) + "\x00" + key))
 	return intentPrefix + kind + "/" + hex.EncodeToString(sum[:16])
 }
 
-// record records an intent unless one has been recorded under the key before,
+// Record records an intent unless one has been recorded under the key before,
 // which it then returns. It waits until the store has answered.
-func (w *intentWriter) record(ctx context.Context, key string, in intent) recordResult {
+func (w *Writer) Record(ctx context.Context, key string, in Intent) Result {
 	w.recording.Add(1)
 	defer w.recording.Add(-1)
-	q := &queuedIntent{key, in, make(chan recordResult, 1)}
+	q := &queuedIntent{key: key, intent: in, reply: make(chan Result, 1)}
 	select {
 	case w.queue <- q:
 	case <-ctx.Done():
-		return recordResult{err: ctx.Err()}
+		return Result{Err: ctx.Err()}
 	}
 	select {
 	case result := <-q.reply:
 		return result
 	case <-ctx.Done():
-		return recordResult{err: ctx.Err()}
+		return Result{Err: ctx.Err()}
 	}
 }
 
-// run writes queued intents in batches until the context ends.
-func (w *intentWriter) run(ctx context.Context) error {
+// Run writes queued intents in batches until the context ends.
+func (w *Writer) Run(ctx context.Context) error {
 	pause := time.NewTimer(0)
 	defer pause.Stop()
 	for {
@@ -122,7 +143,7 @@
 }
 
 // fillBatch adds the queued intents to a batch until it is full.
-func (w *intentWriter) fillBatch(batch []*queuedIntent) []*queuedIntent {
+func (w *Writer) fillBatch(batch []*queuedIntent) []*queuedIntent {
 	for len(batch) < maxIntentBatch {
 		select {
 		case q := <-w.queue:
@@ -136,21 +157,14 @@
 
 // writeBatch records a batch in one transaction. After a conflict, it answers the
 // intents whose key has a row and writes the others again.
-func (w *intentWriter) writeBatch(ctx context.Context, batch []*queuedIntent) {
+func (w *Writer) writeBatch(ctx context.Context, batch []*queuedIntent) {
 	batch = w.dedup(batch)
 	for retries := 0; len(batch) > 0; {
-		var t store.Txn
-		for _, q := range batch {
-			t.Checks = append(t.Checks, store.Check{Key: q.key})
-			if err := t.Set(q.key, q.intent); err != nil {
-				q.reply <- recordResult{err: err}
-			}
-		}
-		_, err := w.store.Write(ctx, t)
+		_, err := w.write(ctx, batch)
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
-			replyAll(batch, recordResult{isFirst: true})
+			replyAll(batch, Result{IsFirst: true})
 			return
 		case errors.As(err, &conflict):
 			batch = w.resolveConflicts(batch, conflict)
@@ -160,20 +174,32 @@
 			// the store although nothing was sent under them. That is safe, since
 			// it can only prevent work, not repeat it.
 			if retries++; retries > maxIntentRetries {
-				replyAll(batch, recordResult{err: err})
+				replyAll(batch, Result{Err: err})
 				return
 			}
 		}
 	}
 }
 
-// dedup keeps the first intent under each key and answers the others.
-func (w *intentWriter) dedup(batch []*queuedIntent) []*queuedIntent {
+// write writes the intents of a batch in one transaction.
+func (w *Writer) write(ctx context.Context, batch []*queuedIntent) (uint64, error) {
+	var t store.Txn
+	for _, q := range batch {
+		t.Checks = append(t.Checks, store.Check{Key: q.key})
+		if err := t.Set(q.key, q.intent); err != nil {
+			return 0, err
+		}
+	}
+	return w.store.Write(ctx, t)
+}
+
+// dedup keeps the first intent under each key, for which the others wait.
+func (w *Writer) dedup(batch []*queuedIntent) []*queuedIntent {
 	seen := map[string]*queuedIntent{}
 	keep := batch[:0]
 	for _, q := range batch {
 		if first := seen[q.key]; first != nil {
-			q.reply <- recordResult{earlier: first.intent}
+			first.duplicates = append(first.duplicates, q)
 			continue
 		}
 		seen[q.key] = q
@@ -185,10 +211,10 @@
 // resolveConflicts answers the intents whose key has a row in conflict and
 // returns the others. A row with an intent's own nonce shows that an earlier
 // write of it took effect.
-func (w *intentWriter) resolveConflicts(batch []*queuedIntent, conflict *store.ConflictError) []*queuedIntent {
-	recorded := map[string]intent{}
+func (w *Writer) resolveConflicts(batch []*queuedIntent, conflict *store.ConflictError) []*queuedIntent {
+	recorded := map[string]Intent{}
 	for _, r := range conflict.Rows {
-		var in intent
+		var in Intent
 		// A row that does not parse still proves an earlier attempt.
 		_ = json.Unmarshal(r.Val, &in)
 		recorded[r.Key] = in
@@ -200,17 +226,17 @@
 		case !ok:
 			rest = append(rest, q)
 		case in.Nonce == q.intent.Nonce:
-			q.reply <- recordResult{isFirst: true}
+			q.answer(Result{IsFirst: true})
 		default:
-			q.reply <- recordResult{earlier: in}
+			q.answer(Result{Earlier: in})
 		}
 	}
 	return rest
 }
 
 // replyAll sends one result to all intents of a batch.
-func replyAll(batch []*queuedIntent, result recordResult) {
+func replyAll(batch []*queuedIntent, result Result) {
 	for _, q := range batch {
-		q.reply <- result
+		q.answer(result)
 	}
 }
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -372,7 +372,11 @@
 		_, err := guard.Call(func() (table.WriteResult, error) { return o.records.Write(ctx, write) })
 		return func(o *Owner, _ time.Time) {
 			o.recordWriteInFlight = false
-			o.log.WithField("error", err).Info("ownership release attempted")
+			if err != nil {
+				o.log.WithError(err).Warn("ownership not released; others wait until it lapses")
+			} else {
+				o.log.Info("ownership released")
+			}
 			o.election.Drain()
 			o.peers.notifyResigned()
 			close(o.drained)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -126,6 +126,17 @@
 // Unwrap returns the cause.
 func (e *UnansweredError) Unwrap() error { return e.Err }
 
+// StatusError reports a call that the platform has refused.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the platform refused %s with status %d", e.Path, e.Status)
+}
+
 // ConflictError reports that checks of a transaction failed, so nothing was written.
 type ConflictError struct{ Rows []Row }
 
@@ -249,8 +260,7 @@
 // PutObject stores an object. Objects are immutable.
 func (c *Client) PutObject(ctx context.Context, name string, val []byte) error {
 	c.counts.Writes.Add(1)
-	_, _, err := c.call(ctx, http.MethodPut, "/objects/"+name, val)
-	return err
+	return c.change(ctx, http.MethodPut, "/objects/"+name, val)
 }
 
 // Object reads an object.
@@ -269,7 +279,16 @@
 // DeleteObject deletes an object. No row may refer to it.
 func (c *Client) DeleteObject(ctx context.Context, name string) error {
 	c.counts.Writes.Add(1)
-	_, _, err := c.call(ctx, http.MethodDelete, "/objects/"+name, nil)
+	return c.change(ctx, http.MethodDelete, "/objects/"+name, nil)
+}
+
+// change makes a call that has taken effect only if its status is a success.
+func (c *Client) change(ctx context.Context, method, path string, val []byte) error {
+	_, status, err := c.call(ctx, method, path, val)
+	if err == nil && status/100 != http.StatusOK/100 {
+		c.counts.Failures.Add(1)
+		return &StatusError{path, status}
+	}
 	return err
 }
 
