Confirm the configuration after a pause; new owners use no old worker list

A process that became the owner used its last reading of the worker list, up to 2 s old and older after failed reads, and started tasks on workers that had left since.

Change: a look at the clock by every call and tick shows a pause of over 3 s. Calls are then refused as not executed until a read of the configuration that began afterwards has succeeded, at most for 5 s, and that read starts at once. A new owner sends heartbeats to the workers of the roster as before, but lists no worker from a reading that is older than the reading interval.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -87,8 +87,9 @@
 	meter   Meter
 	log     *logrus.Entry
 
-	policy  atomic.Pointer[policy.Policy]
-	workers atomic.Pointer[[]fleet.WorkerInfo]
+	policy       atomic.Pointer[policy.Policy]
+	confirmation *confirmation
+	workers      atomic.Pointer[[]fleet.WorkerInfo]
 	// maxCapacity holds, for each service, the largest capacity of any of its workers
 	// since the process started, separately for each resource. It includes workers
 	// that are no longer listed, since they may return.
@@ -126,8 +127,12 @@
 
 // New returns an entry without a configuration. Authorize refuses all calls until
 // SetPolicy is called.
-func New(records RecordStore, link OwnerLink, advisor Advisor, meter Meter, log *logrus.Entry) *Entry {
-	return &Entry{records: records, link: link, advisor: advisor, meter: meter, log: log}
+func New(records RecordStore, link OwnerLink, advisor Advisor, meter Meter, log *logrus.Entry, opts ...Option) *Entry {
+	e := &Entry{records: records, link: link, advisor: advisor, meter: meter, log: log, confirmation: newConfirmation(clock.BootTime)}
+	for _, o := range opts {
+		o(e)
+	}
+	return e
 }
 
 // SetPolicy replaces the configuration if p is newer.
@@ -184,11 +189,14 @@
 // Authorize returns the queue, the team and the remaining path of a call. It refuses calls
 // without a queue, and calls without a valid key unless the queue is public.
 func (e *Entry) Authorize(host, path, key string) (*policy.Queue, core.Team, string, error) {
+	// The check comes first: a configuration that is loaded after it is confirmed.
+	confirmed := e.confirmation.check()
 	p := e.policy.Load()
-	if p == nil {
-		refusal := core.Refuse(core.CodeConfigUnconfirmed, "this VM has no configuration yet")
-		refusal.RetryAfter = clientRetryAfter
-		return nil, "", "", refusal
+	switch {
+	case p == nil:
+		return nil, "", "", unconfirmed("this VM has no configuration yet")
+	case !confirmed:
+		return nil, "", "", unconfirmed("this VM was paused and has not confirmed its configuration yet")
 	}
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -148,7 +148,7 @@
 	n.session = newSessionID(s.VM)
 	candidate := elect.Record{Holder: n.session, VM: s.VM, Addr: s.Peers}
 	n.owner = owner.New(l, owner.Deps{Records: n.records, Workers: p.Workers, Lister: n.lister, Meter: meter{}}, candidate, claimDelay(s), s.Limits, n.logger("owner"),
-		owner.WithWorkersHook(n.entry.SetWorkers),
+		owner.WithWorkersHook(n.entry.SetWorkers), owner.WithTickHook(n.entry.CheckPause),
 		owner.WithOwnerHook(func(r elect.Record, isOwner bool) { n.ownerChanged(toOwner, r, isOwner) }))
 	n.linkClient = link.NewClient(s.VM, string(s.Zone), n.advice, n.owner, store.ServeDirect, n.logger("link"), link.WithRoomHint(n.entry.SetRoomHint))
 	n.linkServer = link.NewServer(n.owner, n.session, store.Serve, n.logger("link"))
@@ -307,6 +307,7 @@
 func (n *Node) watchPolicy(ctx context.Context) error {
 	log := n.logger("config")
 	for ctx.Err() == nil {
+		began := n.entry.Clock()
 		p, version, err := readPolicy(func() (*policy.Policy, uint64, error) { return n.lister.Policy(ctx) })
 		if err != nil {
 			log.WithError(err).Warn("cannot read the configuration")
@@ -314,8 +315,15 @@
 			continue
 		}
 		n.setPolicy(p)
+		n.entry.ConfirmPolicy(began)
 		for ctx.Err() == nil {
-			p, version, err = readPolicy(func() (*policy.Policy, uint64, error) { return n.lister.AwaitPolicy(ctx, version, policyWait) })
+			began = n.entry.Clock()
+			var resumed bool
+			p, version, resumed, err = n.awaitPolicy(ctx, version)
+			if resumed {
+				log.Info("resumed after a pause; reading the configuration")
+				break
+			}
 			if err != nil {
 				var compacted *table.CompactedError
 				if !errors.As(err, &compacted) {
@@ -325,11 +333,31 @@
 				break
 			}
 			n.setPolicy(p)
+			n.entry.ConfirmPolicy(began)
 		}
 	}
 	return nil
 }
 
+// awaitPolicy waits for a change of the configuration after a version. It stops waiting
+// if the process resumes after a pause.
+func (n *Node) awaitPolicy(ctx context.Context, after uint64) (p *policy.Policy, version uint64, resumed bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	watched := make(chan bool, 1)
+	go func() {
+		select {
+		case <-n.entry.Resumed():
+			cancel()
+			watched <- true
+		case <-ctx.Done():
+			watched <- false
+		}
+	}()
+	p, version, err = readPolicy(func() (*policy.Policy, uint64, error) { return n.lister.AwaitPolicy(ctx, after, policyWait) })
+	cancel()
+	return p, version, <-watched, err
+}
+
 // readPolicy reads the configuration. A panic counts as a failed read.
 func readPolicy(read func() (*policy.Policy, uint64, error)) (p *policy.Policy, version uint64, err error) {
 	err = guard.Do(func() (err error) {
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -334,7 +334,8 @@
 	if o.yieldToLaterOwner(now) {
 		return
 	}
-	if !o.workerListAt.IsZero() {
+	// Workers of an older list may have left; the next list follows at once.
+	if now.Sub(o.workerListAt) < workersInterval {
 		o.scheduler.SetWorkers(now, o.workerList)
 	}
 	o.stageRoster()
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -111,6 +111,8 @@
 	announcedRecord elect.Record
 	// onWorkers is called with each new worker list.
 	onWorkers func([]fleet.WorkerInfo)
+	// onTick is called by each tick.
+	onTick func()
 	// workerList is the last worker list.
 	workerList fleet.WorkerList
 	// unusable holds why entries of that list cannot be used, as logged.
@@ -158,6 +160,10 @@
 // WithWorkersHook sets a function that is called with each new worker list.
 func WithWorkersHook(f func([]fleet.WorkerInfo)) Option { return func(o *Owner) { o.onWorkers = f } }
 
+// WithTickHook sets a function that is called by each tick, at least every
+// elect.ReadInterval while the process runs.
+func WithTickHook(f func()) Option { return func(o *Owner) { o.onTick = f } }
+
 // Deps are the external dependencies of an owner.
 type Deps struct {
 	Records RecordStore
@@ -173,7 +179,7 @@
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
 		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), absence: fleet.NewAbsenceTracker(), changesInterval: maxChangesInterval,
-		onOwner: func(elect.Record, bool) {}, onWorkers: func([]fleet.WorkerInfo) {},
+		onOwner: func(elect.Record, bool) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
 		drained: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -240,6 +246,7 @@
 
 // Tick implements loop.Handler.
 func (o *Owner) Tick(now time.Time) time.Time {
+	o.onTick()
 	maySendOrders := o.election.CheckSuspension(clock.BootTime(), clock.Monotonic())
 	o.readRecord(now)
 	o.readWorkers(now)
