--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -340,6 +340,34 @@
 	is.Equal(h.running("one"), 1)
 }
 
+// TestStoredAcknowledgement cancels a running task. Its stop must be acknowledged only
+// once the outcome is stored, since the worker then forgets the run.
+func TestStoredAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, nil)
+	h.answerHeartbeats(allWorkers)
+	h.submit(newSpec("one", "a", rules.Batch, 1, core.Resources{Cores: 1000}))
+	h.runRounds()
+	is.NoErr(h.cell.Cancel(h.now, core.NewJobID(id, "one")))
+	h.storeBatches()
+	stopped := h.tasks["w0"][core.TaskID{Job: core.NewJobID(id, "one")}]
+	stopped.State = cell.TaskStopped
+	acks := func() int {
+		n := 0
+		h.now = h.now.Add(2 * time.Second)
+		for _, hb := range h.cell.Heartbeats(h.now) {
+			n += len(hb.Acks)
+			h.seq++
+			h.cell.Report(h.now, hb, cell.Report{Stamp: "s", Incarnation: "b", Seq: h.seq, Room: capacity, Tasks: []cell.TaskReport{stopped}})
+		}
+		return n
+	}
+	acks()
+	is.Equal(acks(), 0)
+	h.storeBatches()
+	is.True(acks() > 0)
+}
+
 // TestThrottle checks that a task whose use makes its worker overcommitted is
 // throttled to what it declared.
 func TestThrottle(t *testing.T) {
--- a/core/cell/heartbeat.go
+++ b/core/cell/heartbeat.go
@@ -338,9 +338,17 @@
 			t.checkpointed += r.Elapsed
 		}
 		t.fire(taskEventFail)
-		w.acks = append(w.acks, Ack{r.Task, r.Run})
+		w.acknowledgeUnlessFinal(t, r)
 	case TaskRefused:
 		t.fire(taskEventRefused)
+		w.acknowledgeUnlessFinal(t, r)
+	}
+}
+
+// acknowledgeUnlessFinal acknowledges the end of a run that has not ended its task. A
+// final outcome is acknowledged once it is stored.
+func (w *Worker) acknowledgeUnlessFinal(t *Task, r *TaskReport) {
+	if t.outcome == "" {
 		w.acks = append(w.acks, Ack{r.Task, r.Run})
 	}
 }
