--- a/io/gate/mux.go
+++ b/io/gate/mux.go
@@ -35,5 +35,9 @@
 		_ = g.intents.Run(ctx)
 		return nil
 	})
+	g.loop.Go(func(context.Context) loop.Message {
+		_ = g.intents.RunExpiry(ctx, func(err error) { g.log.WithError(err).Warn("expired idempotency keys not deleted; will retry") })
+		return nil
+	})
 	return g.loop.Run(g)
 }
--- a/io/once/once.go
+++ b/io/once/once.go
@@ -70,9 +70,10 @@
 	Err     error
 }
 
-// Store writes rows of the store.
+// Store reads and writes rows of the store.
 type Store interface {
 	Write(ctx context.Context, t store.Txn) (uint64, error)
+	Scan(ctx context.Context, prefix, after string) ([]store.Row, error)
 }
 
 // Writer records intents. The gate sends a request or a job that has an
--- a/io/once/once_test.go
+++ b/io/once/once_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +25,49 @@
 	return 1, g.err
 }
 
+func (*gatedStore) Scan(context.Context, string, string) ([]store.Row, error) { return nil, nil }
+
+// keyStore holds intents by key.
+type keyStore map[string]store.Row
+
+func (k keyStore) Write(_ context.Context, t store.Txn) (uint64, error) {
+	for _, d := range t.Deletes {
+		delete(k, d)
+	}
+	return 1, nil
+}
+
+func (k keyStore) Scan(_ context.Context, prefix, _ string) ([]store.Row, error) {
+	var out []store.Row
+	for key, r := range k {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
+// TestExpire looks at all slices of keys a day and an hour after some of them were
+// recorded. Those, and no others, must be deleted.
+func TestExpire(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := keyStore{}
+	for i := range 300 {
+		key := once.Key([]string{"call", "job"}[i%2], "t", fmt.Sprint(i))
+		val, err := json.Marshal(once.Intent{Nonce: "n", At: now.Add(-time.Duration(i%3) * 25 * time.Hour)})
+		is.NoErr(err)
+		s[key] = store.Row{Key: key, Val: val, Version: 1}
+	}
+	odd := once.Key("call", "t", "odd")
+	s[odd] = store.Row{Key: odd, Val: []byte("{"), Version: 1}
+	w := once.NewWriter(s)
+	for slice := range once.ExpireSlices {
+		is.NoErr(w.Expire(t.Context(), now, slice))
+	}
+	is.Equal(len(s), 101)
+}
+
 // TestDuplicate records two intents under one key while a write is in flight, so that
 // one write decides on both. The second must not be answered before it, nor told of a
 // first attempt that has not been recorded.
