--- a/io/owner/list_test.go
+++ b/io/owner/list_test.go
@@ -66,3 +66,42 @@
 	is.True(known && isOwner)
 	is.Equal(l.starts.Load(), int64(0))
 }
+
+// largeFleet is a list of 2,000 workers, and a store in which another process holds the
+// ownership record if other is set.
+type largeFleet struct {
+	emptyFeedStore
+	other bool
+	reads atomic.Int64
+}
+
+func (l *largeFleet) OwnerRecord(context.Context) (elect.Observation, error) {
+	if l.other {
+		return elect.Observation{Record: elect.Record{Holder: "b", VM: "b", Epoch: 1, WriteNumber: uint64(time.Now().UnixMilli())}, Version: uint64(time.Now().UnixMilli())}, nil
+	}
+	return elect.Observation{}, nil
+}
+
+func (l *largeFleet) Workers(context.Context) (fleet.WorkerList, error) {
+	l.reads.Add(1)
+	return fleet.WorkerList{Workers: make([]fleet.WorkerInfo, 2000)}, nil
+}
+
+// TestReadsOfLargeList checks how often the list of a large fleet is read: by the owner
+// often enough to notice in time which workers are leaving, by other VMs rarely.
+func TestReadsOfLargeList(t *testing.T) {
+	for name, c := range map[string]struct {
+		other       bool
+		least, most int64
+	}{"owner": {false, 3, 8}, "other VM": {true, 1, 1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := &largeFleet{emptyFeedStore: emptyFeedStore{&fakeDeps{}}, other: c.other}
+			startOwner(t, l, "a", policy.New(1, nil, nil, nil, 0))
+			time.Sleep(5 * time.Second)
+			if n := l.reads.Load(); n < c.least || n > c.most {
+				t.Errorf("%d reads in 5 s, want %d to %d", n, c.least, c.most)
+			}
+		})
+	}
+}
