help settings prints the settings

The argument parser takes the word help for its own flag, so that the command which error messages and OPERATE.md name failed.

--- a/cmd/chicoryturn/main.go
+++ b/cmd/chicoryturn/main.go
@@ -79,6 +79,9 @@
 }
 
 func run(ctx context.Context) error {
+	if topic, ok := helpTopic(os.Args[1:]); ok {
+		return explain(topic)
+	}
 	flaggy.SetName("chicoryturn")
 	flaggy.SetDescription(about)
 	flaggy.SetVersion(version)
--- a/cmd/chicoryturn/serve.go
+++ b/cmd/chicoryturn/serve.go
@@ -60,19 +60,31 @@
 		name:  "help",
 		about: "Explains a topic. The only topic is settings.",
 		flags: func(c *flaggy.Subcommand) { c.AddPositionalValue(&topic, "topic", 1, false, "settings") },
-		run: func(context.Context) error {
-			if topic != "settings" && topic != "" {
-				return &InputError{fmt.Sprintf("no help on %q; the only topic is settings", topic)}
-			}
-			fmt.Printf("%-10s %-26s %-8s %s\n", "name", "unit", "default", "meaning")
-			for _, s := range parse.SettingTable {
-				def := s.Default
-				if def == "" {
-					def = "-"
-				}
-				fmt.Printf("%-10s %-26s %-8s %s\n", s.Name, s.Unit, def, s.About)
-			}
-			return nil
-		},
+		run:   func(context.Context) error { return explain(topic) },
+	}
+}
+
+// helpTopic returns the topic of a call of help. The parser takes the word help for its
+// own flag, wherever it stands.
+func helpTopic(args []string) (string, bool) {
+	if len(args) != 2 || args[0] != "help" {
+		return "", false
+	}
+	return args[1], true
+}
+
+// explain prints the help on a topic.
+func explain(topic string) error {
+	if topic != "settings" && topic != "" {
+		return &InputError{fmt.Sprintf("no help on %q; the only topic is settings", topic)}
+	}
+	fmt.Printf("%-10s %-26s %-8s %s\n", "name", "unit", "default", "meaning")
+	for _, s := range parse.SettingTable {
+		def := s.Default
+		if def == "" {
+			def = "-"
+		}
+		fmt.Printf("%-10s %-26s %-8s %s\n", s.Name, s.Unit, def, s.About)
 	}
+	return nil
 }
