--- a/io/once/expire.go
+++ b/io/once/expire.go
@@ -13,14 +13,16 @@
 const (
 	// retention is how long a key is remembered: longer than any client retries.
 	retention = 24 * time.Hour
-	// expireInterval is the time between two looks at a slice of the keys, ExpireSlices
-	// their number. A gate looks at every key in 43 minutes.
+	// expireInterval is the time between two looks at a slice of the keys. A gate looks
+	// at every key in 43 minutes.
 	expireInterval = 10 * time.Second
-	ExpireSlices   = 256
 	// maxExpired bounds the rows of one deletion.
 	maxExpired = 90
 )
 
+// ExpireSlices is the number of slices into which the keys are divided by hash.
+const ExpireSlices = 256
+
 // RunExpiry deletes expired intents, a slice of the keys at a time, until the context
 // ends. It passes each error to report and goes on with the next slice.
 func (w *Writer) RunExpiry(ctx context.Context, report func(error)) error {
--- a/io/record/unconfirmed.go
+++ b/io/record/unconfirmed.go
@@ -34,10 +34,19 @@
 // refusal returns r, or a refusal with an unknown outcome if an earlier call may have
 // stored the job.
 func (s *Store) refusal(id core.JobID, r *core.RefusalError) *core.RefusalError {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at, ok := s.unconfirmed[id]; !ok || time.Since(at) > unconfirmedTTL {
+	if !s.maybeStored(id) {
 		return r
 	}
 	return core.RefuseUnknown(r.Code, r, "an earlier call may have stored the job")
 }
+
+// maybeStored reports whether an earlier call may have stored a job.
+func (s *Store) maybeStored(id core.JobID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.unconfirmed[id]
+	return ok && time.Since(at) <= unconfirmedTTL
+}
+
+// refusesAll reports whether the table refuses all calls.
+func (s *Store) refusesAll() bool { return s.reachability != nil && s.reachability.RefusesAll() }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -53,6 +53,7 @@
 	answeredAt, unansweredSince time.Time
 	// relayed counts the calls that other VMs have made for this one.
 	relayed uint64
+	outage  outage
 }
 
 // Option configures a store.
@@ -90,6 +91,7 @@
 func (s *Store) updateReachability(began time.Time, o table.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.outage.observe(s.clock(), o)
 	switch {
 	case o.Answered():
 		s.answeredAt, s.unansweredSince = s.clock(), time.Time{}
@@ -143,6 +145,9 @@
 // ServeDirect makes a call for another VM directly. It does not send the call
 // while this VM's own calls are relayed.
 func (s *Store) ServeDirect(ctx context.Context, c table.Call) table.Outcome {
+	if o, ok := s.suppress(); ok {
+		return o
+	}
 	isDirect, isTrial := s.route()
 	if !isDirect {
 		return table.NotSent()
@@ -154,8 +159,11 @@
 }
 
 // execute makes a call on the current route and records whether the table
-// answered.
+// answered. While the table refuses all calls, it makes only some.
 func (s *Store) execute(ctx context.Context, c table.Call) table.Outcome {
+	if o, ok := s.suppress(); ok {
+		return o
+	}
 	began := s.clock()
 	o := s.sendRouted(ctx, c)
 	s.updateReachability(began, o)
--- a/io/table/call.go
+++ b/io/table/call.go
@@ -104,6 +104,9 @@
 // NotSent returns the outcome of a call that was not sent.
 func NotSent() Outcome { return Outcome{RefusedStatus: statusUnreachable} }
 
+// Unreachable reports whether the call was not sent, since no connection could be made.
+func (o Outcome) Unreachable() bool { return o.RefusedStatus == statusUnreachable }
+
 // Answered reports whether the table processed or refused the call.
 func (o Outcome) Answered() bool { return o.NoAnswer == "" && o.RefusedStatus != statusUnreachable }
 
