--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -23,17 +23,6 @@
 )
 
 const (
-	// workersInterval is the time between two reads of the worker list. A worker
-	// that announces its shutdown must receive no new work after 2.5 s.
-	workersInterval = 500 * time.Millisecond
-	// ownerEntryInterval and entryInterval are added up over the entries of the list to
-	// the shortest time between two reads, by the owner and by the other VMs, so that
-	// the bytes that a VM reads a second do not grow with the fleet. The owner's
-	// reads are at most maxOwnerInterval apart, so that it notices in time which
-	// workers are leaving or missing.
-	ownerEntryInterval = time.Millisecond
-	entryInterval      = 5 * time.Millisecond
-	maxOwnerInterval   = time.Second
 	// minChangesInterval and maxChangesInterval bound the time between two reads of
 	// the jobs and cancellations in the store. VMs that are connected to the owner
 	// notify it at once. While reads find jobs that no VM has reported, the interval
@@ -318,59 +307,6 @@
 	}
 }
 
-// readWorkers reads the worker list if the next read is due.
-func (o *Owner) readWorkers(now time.Time) {
-	if o.workersReadInFlight || now.Before(o.nextWorkersRead) {
-		return
-	}
-	o.workersReadInFlight = true
-	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		list, err := guard.Call(func() (fleet.WorkerList, error) { return o.lister.Workers(ctx) })
-		return func(o *Owner, now time.Time) {
-			o.workersReadInFlight = false
-			if err != nil {
-				o.nextWorkersRead = now.Add(o.workersReadDelay())
-				o.log.WithError(err).Warn("cannot read the worker list")
-				return
-			}
-			o.logUnusable(list.Unusable)
-			o.workerList, o.workerListAt = list, now
-			o.nextWorkersRead = now.Add(o.workersReadDelay())
-			o.absence.Observe(now, list)
-			o.onWorkers(list.Workers)
-			if o.scheduler != nil {
-				o.scheduler.SetWorkers(now, list)
-				o.stageRoster()
-				o.tickSoon(now)
-			}
-		}
-	})
-}
-
-// logUnusable logs the entries of the worker list that cannot be used, and why. An entry
-// is logged again only when the reason changes.
-func (o *Owner) logUnusable(entries []fleet.UnusableEntry) {
-	reasons := make(map[core.WorkerID]string, len(entries))
-	for _, e := range entries {
-		reasons[e.ID] = e.Err.Error()
-		if o.unusable[e.ID] != reasons[e.ID] {
-			o.log.WithError(e.Err).WithField("worker", e.ID).Warn("skipping a worker list entry")
-		}
-	}
-	o.unusable = reasons
-}
-
-// workersReadDelay returns the time until the next read of the worker list. It is
-// longer on VMs that do not own the fleet, which need the list only for advice
-// requests, and on large fleets.
-func (o *Owner) workersReadDelay() time.Duration {
-	entries := time.Duration(len(o.workerList.Workers) + len(o.workerList.Unusable))
-	if o.election.IsHolder() {
-		return max(workersInterval, min(entries*ownerEntryInterval, maxOwnerInterval))
-	}
-	return max(4*workersInterval, entries*entryInterval)
-}
-
 // stageRoster adds the roster to the next write if it has changed.
 func (o *Owner) stageRoster() {
 	if v := o.scheduler.RosterVersion(); v != o.rosterVersion {
--- a/io/record/write.go
+++ b/io/record/write.go
@@ -75,12 +75,13 @@
 func (s *Store) divideRoster(w OwnerWrite) (*pager, map[int][]fleet.WorkerInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pager == nil || s.pager.epoch != w.Record.Epoch {
-		s.pager = newPager(w.Record.Epoch, s.loadedRoster)
-	}
 	if w.Roster == nil {
 		return s.pager, nil
 	}
+	// An owner loads the stored roster after its claim and before it writes one.
+	if s.pager == nil || s.pager.epoch != w.Record.Epoch {
+		s.pager = newPager(w.Record.Epoch, s.loadedRoster)
+	}
 	return s.pager, s.pager.divide(w.Roster)
 }
 
