--- a/io/record/fuzz_test.go
+++ b/io/record/fuzz_test.go
@@ -17,7 +17,7 @@
 func FuzzRows(f *testing.F) {
 	f.Add(`{"ID":"j","Team":"t","Queue":"q","Phases":[{"Count":2,"Need":{"Cores":1000}},{"Count":1,"After":[0],"Gang":true}]}`, `{"Job":"j","Done":"AQ==","Fails":{"1":[7]}}`, `{"Pages":1,"Hosts":[{"Name":"w"}]}`)
 	f.Add(`{"ID":"j","Phases":[{"Count":1,"After":[7]}],"Repeat":9}`, `{"Job":"j","State":"odd","Fails":{"-1":[1]}}`, `{"Pages":-1}`)
-	f.Fuzz(func(t *testing.T, job, progress, roster string) {
+	f.Fuzz(func(_ *testing.T, job, progress, roster string) {
 		tbl := newFakeTable()
 		for k, text := range map[table.Key]string{
 			{Table: "job", Part: "p0", Name: "j"}:                job,
