Hold new jobs again while the store refuses all; keep the probing

Clients have a few retries in 3 s: refused at once, many had used them up when the store was back. What is held for up to 0.8 s is stored as soon as a probe succeeds.

Change: Accept holds such jobs as before; the table is still probed, once in 150 ms.

--- a/io/record/accept.go
+++ b/io/record/accept.go
@@ -142,11 +142,6 @@
 	if s.Unreachable() {
 		return spec, s.refusal(spec.ID, s.unreachableError())
 	}
-	if s.refusesAll() && !s.maybeStored(spec.ID) {
-		r := core.Refuse(core.CodeStoreUnavailable, "the store takes no jobs at present")
-		r.RetryAfter = outageRetryAfter
-		return spec, r
-	}
 	j := &pendingJob{ctx: ctx, spec: spec, put: put, queuedAt: time.Now(), result: make(chan acceptResult, 1)}
 	if !s.enqueue(partOf(spec.ID), j) {
 		busy := core.Refuse(core.CodeBusy, "%d jobs wait for the store", maxQueuedJobs)
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -48,9 +48,6 @@
 	// short because a retry may go through another VM, and most network partitions leave
 	// some VMs connected to the store.
 	clientRetryAfter = time.Second
-	// outageRetryAfter is that delay while the store refuses all calls, through whatever
-	// VM. Such outages last for seconds, and clients retry a few times only.
-	outageRetryAfter = 2 * time.Second
 	// maxParallelReads bounds the partitions that are read in parallel.
 	maxParallelReads = 32
 )
@@ -64,8 +61,6 @@
 // Reachability reports whether the table can be reached.
 type Reachability interface {
 	Unreachable() bool
-	// RefusesAll reports whether the table refuses all calls, of this VM and of others.
-	RefusesAll() bool
 }
 
 // progressRangeStarts divide the progress rows into ranges of job names that are read
--- a/io/record/unconfirmed.go
+++ b/io/record/unconfirmed.go
@@ -47,6 +47,3 @@
 	at, ok := s.unconfirmed[id]
 	return ok && time.Since(at) <= unconfirmedTTL
 }
-
-// refusesAll reports whether the table refuses all calls.
-func (s *Store) refusesAll() bool { return s.reachability != nil && s.reachability.RefusesAll() }
--- a/io/relay/outage.go
+++ b/io/relay/outage.go
@@ -58,13 +58,6 @@
 	return o.last, true
 }
 
-// RefusesAll reports whether the table refuses all calls, of this VM and of others.
-func (s *Store) RefusesAll() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.outage.refusesAll(s.clock())
-}
-
 func (s *Store) suppress() (table.Outcome, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
