Probe a refusing store directly, whatever the route

Probes now go directly first. A call without an answer ends the suppression, as the store does not refuse then (TestUnreachable). TestOutage lets only the direct way serve again and failed before.

--- a/io/relay/outage.go
+++ b/io/relay/outage.go
@@ -38,6 +38,9 @@
 		o.last = outcome
 	case outcome.Answered():
 		o.refusals, o.processedAt = 0, now
+	default:
+		// A call without an answer is no refusal.
+		o.refusals = 0
 	}
 }
 
@@ -46,20 +49,34 @@
 	return o.refusals >= minRefusals && now.Sub(o.processedAt) > minOutage
 }
 
-// suppress reports whether a call need not be made, and its outcome then.
-func (o *outage) suppress(now time.Time) (table.Outcome, bool) {
-	if !o.refusesAll(now) {
-		return table.Outcome{}, false
-	}
-	if !now.Before(o.nextProbe) {
-		o.nextProbe = now.Add(probeInterval)
-		return table.Outcome{}, false
+// treatment says how a call is made.
+type treatment uint8
+
+const (
+	// routed calls take the current route.
+	routed treatment = iota
+	// probing calls are made directly first: another VM may not know yet that the table
+	// serves again.
+	probing
+	// suppressed calls are not made.
+	suppressed
+)
+
+// treat returns how the next call is made.
+func (o *outage) treat(now time.Time) treatment {
+	switch {
+	case !o.refusesAll(now):
+		return routed
+	case now.Before(o.nextProbe):
+		return suppressed
 	}
-	return o.last, true
+	o.nextProbe = now.Add(probeInterval)
+	return probing
 }
 
-func (s *Store) suppress() (table.Outcome, bool) {
+// treat returns how the next call is made, and its outcome if it is not made.
+func (s *Store) treat() (treatment, table.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outage.suppress(s.clock())
+	return s.outage.treat(s.clock()), s.outage.last
 }
--- a/io/relay/outage_test.go
+++ b/io/relay/outage_test.go
@@ -45,7 +45,8 @@
 			if calls < c.least || calls > c.most {
 				t.Errorf("%d calls were made, want %d to %d", calls, c.least, c.most)
 			}
-			direct.err, other.table.err = nil, nil
+			// The other VM does not know yet that the table serves again.
+			direct.err = nil
 			now = now.Add(150 * time.Millisecond)
 			_, err = s.Read(ctx, table.Range{})
 			is.NoErr(err)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -145,11 +145,12 @@
 // ServeDirect makes a call for another VM directly. It does not send the call
 // while this VM's own calls are relayed.
 func (s *Store) ServeDirect(ctx context.Context, c table.Call) table.Outcome {
-	if o, ok := s.suppress(); ok {
-		return o
+	how, last := s.treat()
+	if how == suppressed {
+		return last
 	}
 	isDirect, isTrial := s.route()
-	if !isDirect {
+	if !isDirect && how != probing {
 		return table.NotSent()
 	}
 	began := s.clock()
@@ -161,19 +162,21 @@
 // execute makes a call on the current route and records whether the table
 // answered. While the table refuses all calls, it makes only some.
 func (s *Store) execute(ctx context.Context, c table.Call) table.Outcome {
-	if o, ok := s.suppress(); ok {
-		return o
+	how, last := s.treat()
+	if how == suppressed {
+		return last
 	}
 	began := s.clock()
-	o := s.sendRouted(ctx, c)
+	o := s.sendRouted(ctx, c, how == probing)
 	s.updateReachability(began, o)
 	return o
 }
 
-// sendRouted makes a call directly or through another VM.
-func (s *Store) sendRouted(ctx context.Context, c table.Call) table.Outcome {
+// sendRouted makes a call directly or through another VM, or directly first if it is
+// probing.
+func (s *Store) sendRouted(ctx context.Context, c table.Call, isProbing bool) table.Outcome {
 	isDirect, isTrial := s.route()
-	if !isDirect {
+	if !isDirect && !isProbing {
 		if o, err := s.callRelayed(ctx, c); err == nil {
 			return o
 		}
