--- a/io/relay/outage.go
+++ b/io/relay/outage.go
@@ -33,9 +33,11 @@
 // observe records the outcome of a call that was made on every route.
 func (o *outage) observe(now time.Time, outcome table.Outcome) {
 	switch {
-	case outcome.RefusedStatus == http.StatusServiceUnavailable, outcome.Unreachable():
+	case outcome.RefusedStatus == http.StatusServiceUnavailable:
 		o.refusals++
 		o.last = outcome
+	case outcome.Unreachable():
+		// No VM could be asked, which says nothing about the table.
 	case outcome.Answered():
 		o.refusals, o.processedAt = 0, now
 	default:
