--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -354,13 +354,24 @@
 	}
 }
 
-// orderHeartbeats orders the heartbeats that are due. It also marks a worker
-// that does not answer as lapsed once its lease has certainly expired.
-func (s *Scheduler) orderHeartbeats() {
+// lapseSilent marks the workers that do not answer as lapsed once their runs have
+// certainly ended.
+func (s *Scheduler) lapseSilent() {
 	for _, w := range s.sortedWorkers {
-		if w.state != workerLive && w.leaseLapsed(s.now) {
+		if w.state == workerLive || w.state == workerLapsed {
+			continue
+		}
+		if p := w.endProof(); p != noProof {
+			s.logDecision(Decision{Event: "worker does not answer; its runs have ended", Worker: w.id, Reason: string(p)})
 			w.fire(workerLapse)
 		}
+	}
+	s.resolveRecovered()
+}
+
+// orderHeartbeats orders the heartbeats that are due.
+func (s *Scheduler) orderHeartbeats() {
+	for _, w := range s.sortedWorkers {
 		if w.heartbeatInFlight || s.now.Before(w.nextHeartbeat) {
 			continue
 		}
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -34,6 +34,15 @@
 		[]policy.Team{{Name: "t", Weight: 1000, Limit: limit}}, []policy.Service{{Name: "s"}}, 0)
 }
 
+// newPolicyOf returns a policy that names services.
+func newPolicyOf(names ...core.Service) *policy.Policy {
+	var services []policy.Service
+	for _, n := range names {
+		services = append(services, policy.Service{Name: n})
+	}
+	return policy.New(2, nil, nil, services, 0)
+}
+
 func newWorkerInfo(i int) fleet.WorkerInfo {
 	return fleet.WorkerInfo{VM: core.VM{
 		Name: fmt.Sprintf("w%d", i), Kind: "worker", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Capacity: core.Resources{Cores: 4000, Memory: 4000}, Service: "s", Rack: "r",
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -48,6 +48,7 @@
 	if len(s.unresolved) > 0 {
 		s.unreportedCapacity = s.sumUnreportedCapacity()
 	}
+	s.lapseSilent()
 	s.orderHeartbeats()
 	s.repeatStops()
 	if s.needsPlacement {
--- /dev/null
+++ b/core/fleet/proof_test.go
@@ -0,0 +1,87 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core/fleet"
+	"chicoryturn/core/jobs"
+)
+
+// maxEarlierLease is the time after a change of owner by which the longest lease of an
+// earlier owner has expired: 6 s on a clock that is 2 % slow, and a second in which that
+// owner may not know of the change.
+const maxEarlierLease = 6*time.Second*100/98 + time.Second
+
+// takeOver replaces the fixture's scheduler by that of a new owner that has loaded the
+// stored roster and one job, which an earlier owner may have started.
+func (f *fixture) takeOver(roster []fleet.WorkerInfo) {
+	f.Scheduler = newScheduler(f.now, 2)
+	f.RestoreRoster(roster, nil)
+	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
+}
+
+// starts lists workers, answers the heartbeats of those that are given, and returns the
+// starts that the scheduler orders.
+func (f *fixture) starts(listed, answering []fleet.WorkerInfo) []fleet.Order {
+	f.SetWorkers(f.now, fleet.WorkerList{Workers: listed})
+	f.RosterStored(f.Roster())
+	f.Tick(f.now)
+	var out []fleet.Order
+	for _, o := range f.Orders() {
+		answered := false
+		for _, w := range answering {
+			if o.Kind == fleet.OrderHeartbeat && o.Worker == w.ID() {
+				f.heartbeat(w, nil, nil)
+				answered = true
+			}
+		}
+		if o.Kind == fleet.OrderStart {
+			out = append(out, o)
+		} else if !answered {
+			f.HeartbeatFailed(f.now, o.Worker)
+		}
+	}
+	return out
+}
+
+// TestForeignEntry guards against entries of another system that hold jobs up for ever
+// (review/2): an entry of a service that the configuration does not name is no worker. It
+// becomes one once a configuration names its service.
+func TestForeignEntry(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 2)
+	foreign := newWorkerInfo(9)
+	foreign.Service = "of another system"
+	f.takeOver(f.workers)
+	listed := append([]fleet.WorkerInfo{foreign}, f.workers...)
+	starts := f.starts(listed, f.workers)
+	is.Equal(len(f.Roster()), 2)
+	starts = append(starts, f.starts(listed, f.workers)...)
+	is.Equal(len(starts), 1)
+	f.SetPolicy(newPolicyOf("s", foreign.Service))
+	f.starts(listed, f.workers)
+	is.Equal(len(f.Roster()), 3)
+}
+
+// TestListedWorkerNeverAnswers guards against a listed worker that holds up the recovered
+// tasks of the whole fleet for ever (review/2) because it never answers a new owner, or
+// answers what cannot be read. Its runs are over once the longest lease has expired.
+func TestListedWorkerNeverAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 2)
+	f.takeOver(f.workers)
+	for {
+		starts := f.starts(f.workers, f.workers[:1])
+		waited := f.now.Sub(startTime)
+		is.True(len(starts) == 0 || waited >= 6*time.Second*100/98)
+		if len(starts) > 0 {
+			is.Equal(starts[0].Worker, f.workers[0].ID())
+			return
+		}
+		is.True(waited < maxEarlierLease+500*time.Millisecond)
+		f.advance(100 * time.Millisecond)
+	}
+}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -31,6 +31,11 @@
 	// election, 1.5 s for loading the state and the first heartbeat, and 1.5 s
 	// for the age of the last renewal.
 	maxLease = 6 * time.Second
+	// maxOverlap bounds the time from the creation of a scheduler to the last decision
+	// of an earlier owner. That owner renews its record every 0.7 s and so learns of
+	// its successor after one more round trip to the store, while the successor has
+	// needed a round trip to load the state.
+	maxOverlap = time.Second
 )
 
 // Limits are the settings and platform figures that bound the scheduler's
@@ -86,6 +91,9 @@
 	rosterVersion uint64
 	// listedAt is when the list of workers was last read.
 	listedAt time.Time
+	// earlierLeasesEnd is when every lease that an earlier owner has granted has
+	// certainly expired.
+	earlierLeasesEnd time.Time
 	// allReported is set once every worker that an earlier owner may have used has
 	// reported.
 	allReported bool
@@ -172,7 +180,7 @@
 // New returns a scheduler without jobs and workers for a new owner's epoch.
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Scheduler {
 	s := &Scheduler{
-		epoch: epoch, recoverBefore: epoch, now: now, allReported: epoch <= 1, limits: limits.bounded(), policy: p, estimator: cell.NewEstimator(),
+		epoch: epoch, recoverBefore: epoch, now: now, earlierLeasesEnd: now.Add(maxOverlap + onSlowestClock(maxLease+leaseSlack)), allReported: epoch <= 1, limits: limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
 		openPhases: map[*phase]struct{}{}, futurePhases: map[*phase]struct{}{},
 		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{}, unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, dirty: map[core.JobID]*Job{},
@@ -455,8 +463,8 @@
 // has reported.
 func (s *Scheduler) AllReported() bool { return s.allReported }
 
-// resolveRecovered lets the unresolved tasks start once every worker has
-// reported: a run that no worker listed does not exist.
+// resolveRecovered lets the unresolved tasks start once every worker has reported or
+// its runs have certainly ended: a run that no worker listed does not exist.
 func (s *Scheduler) resolveRecovered() {
 	if s.allReported && len(s.unresolved) == 0 || s.hasUnreportedWorkers() {
 		return
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -18,8 +18,13 @@
 	workers []fleet.WorkerInfo
 }
 
+// newScheduler returns a scheduler without jobs and workers.
+func newScheduler(now time.Time, epoch core.Epoch) *fleet.Scheduler {
+	return fleet.New(now, epoch, fleet.Limits{Lease: leaseDuration, ListTimeout: 4500 * time.Millisecond, RemoteFactor: 1}, newPolicy(core.Resources{}))
+}
+
 func newFixture(epoch core.Epoch, workers int) *fixture {
-	f := &fixture{now: startTime, Scheduler: fleet.New(startTime, epoch, fleet.Limits{Lease: leaseDuration, ListTimeout: 4500 * time.Millisecond, RemoteFactor: 1}, newPolicy(core.Resources{}))}
+	f := &fixture{now: startTime, Scheduler: newScheduler(startTime, epoch)}
 	for i := range workers {
 		w := newWorkerInfo(i)
 		w.Incarnation = startTime.Add(-time.Hour)
@@ -212,6 +217,7 @@
 				f.advance(c.interval)
 				tracker.Observe(f.now, fleet.WorkerList{Workers: f.workers[:1]})
 			}
+			f.Scheduler = newScheduler(f.now, 2)
 			f.RestoreRoster(f.workers, tracker.MissingSince())
 			f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
 			f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers[:1]})
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -146,7 +146,8 @@
 
 func (w *Worker) fire(ev chart.Event) { w.scheduler.recordRefused(workerChart.Fire(&w.state, ev, w)) }
 
-// SetWorkers updates the workers from a new list of the platform.
+// SetWorkers updates the workers from a new list of the platform. It adds none of a
+// service that the configuration does not name: its entry may be another system's.
 func (s *Scheduler) SetWorkers(now time.Time, list WorkerList) {
 	s.now = now
 	listed := map[core.WorkerID]bool{}
@@ -159,11 +160,11 @@
 	}
 	for _, info := range list.Workers {
 		id := info.ID()
-		if s.misdirected.has(info) {
+		w := s.workers[id]
+		if s.misdirected.has(info) || w == nil && !s.policy.NamesService(info.Service) {
 			continue
 		}
 		listed[id] = true
-		w := s.workers[id]
 		if w == nil {
 			w = s.addWorker(id, info)
 		}
@@ -358,16 +359,6 @@
 	return end
 }
 
-// leaseLapsed reports whether the lease of all runs on the worker has certainly
-// expired, even if its clock runs at minClockRate.
-func (w *Worker) leaseLapsed(now time.Time) bool {
-	if w.answeredAt.IsZero() {
-		return false
-	}
-	clock := w.clock + time.Duration(float64(now.Sub(w.answeredAt))*minClockRate)
-	return clock > w.leaseUntil+leaseSlack
-}
-
 // usable reports whether tasks may be placed on the worker.
 func (w *Worker) usable() bool {
 	return w.state == workerLive && w.listed && !w.entryUnusable && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -82,6 +82,8 @@
 
 	byKey  map[string]*Team
 	byHost map[string][]*Queue
+	// named holds the services of Services and those of Queues.
+	named core.Set[core.Service]
 }
 
 // New builds a policy and its indexes.
@@ -89,11 +91,12 @@
 	p := &Policy{
 		Version: version, MaxBody: maxBody,
 		Queues: map[core.Queue]*Queue{}, Teams: map[core.Team]*Team{}, Services: map[core.Service]*Service{},
-		byKey: map[string]*Team{}, byHost: map[string][]*Queue{},
+		byKey: map[string]*Team{}, byHost: map[string][]*Queue{}, named: core.NewSet[core.Service](),
 	}
 	for i := range queues {
 		q := &queues[i]
 		p.Queues[q.Name] = q
+		p.named.Add(q.Service)
 		p.byHost[q.Host] = append(p.byHost[q.Host], q)
 	}
 	for _, qs := range p.byHost {
@@ -108,6 +111,7 @@
 	}
 	for i := range services {
 		p.Services[services[i].Name] = &services[i]
+		p.named.Add(services[i].Name)
 	}
 	return p
 }
@@ -123,6 +127,10 @@
 	return nil, "", false
 }
 
+// NamesService reports whether the configuration names a service, by itself or as that
+// of a queue.
+func (p *Policy) NamesService(s core.Service) bool { return p.named.Has(s) }
+
 // TeamOf returns the team that a key belongs to.
 func (p *Policy) TeamOf(key string) (*Team, bool) {
 	t, ok := p.byKey[key]
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -287,12 +287,18 @@
 
 func (o *Owner) logDecisions() {
 	for _, d := range o.scheduler.Decisions() {
-		f := logrus.Fields{"job": d.Job}
+		f := logrus.Fields{}
+		if d.Job != "" {
+			f["job"] = d.Job
+		}
 		if d.Task != "" {
 			f["task"] = d.Task
 		}
+		if d.Worker != "" {
+			f["worker"] = d.Worker
+		}
 		if d.Run > 0 {
-			f["run"], f["worker"] = d.Run, d.Worker
+			f["run"] = d.Run
 		}
 		if d.Wait > 0 {
 			f["after"] = d.Wait.Round(time.Millisecond).String()
