--- a/core/fleet/entry_test.go
+++ b/core/fleet/entry_test.go
@@ -64,7 +64,7 @@
 	f.SetWorkers(f.now, list)
 	is.Equal(len(f.nextOrders(fleet.OrderHeartbeat)), 2)
 	f.heartbeat(f.workers[0], nil, nil)
-	f.IncarnationEnded(f.now, f.workers[1].ID())
+	f.IncarnationEnded(f.now, f.workers[1])
 	version := f.RosterVersion()
 	called := func() core.Set[core.WorkerID] {
 		ids := core.NewSet[core.WorkerID]()
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -325,16 +325,21 @@
 	s.needsPlacement = true
 }
 
-// IncarnationEnded handles the proof that a worker's incarnation has ended: another
-// worker answers at its address.
-func (s *Scheduler) IncarnationEnded(now time.Time, id core.WorkerID) {
+// IncarnationEnded handles an answer of another worker to an order that was sent to the
+// address and incarnation in sent: that incarnation has ended, since a port is bound by
+// one process at a time. If the worker has another address or incarnation by now, the
+// answer says nothing of it.
+func (s *Scheduler) IncarnationEnded(now time.Time, sent WorkerInfo) {
 	s.now = now
-	if w := s.workers[id]; w != nil {
-		s.misdirected.add(w.info)
-		w.fire(workerVanish)
-		s.removeGone()
-		s.resolveRecovered()
+	w := s.workers[sent.ID()]
+	if w == nil || w.info.Addr != sent.Addr || !w.info.Incarnation.Equal(sent.Incarnation) {
+		return
 	}
+	s.misdirected.add(w.info)
+	s.logDecision(Decision{Event: "worker has ended", Worker: w.id, Reason: "another one answers at its address"})
+	w.fire(workerVanish)
+	s.removeGone()
+	s.resolveRecovered()
 }
 
 // repeatStops sends unanswered stops again.
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -420,9 +420,6 @@
 		t.phase.advice.expireTickets(worker)
 	case ReplyUnhealthy:
 		w.setAside()
-	case ReplyOtherIncarnation:
-		s.IncarnationEnded(now, worker)
-		return
 	case ReplyMalformed:
 		t.avoidWorker(worker)
 	}
@@ -433,10 +430,6 @@
 // StopAnswered handles the outcome of a stop.
 func (s *Scheduler) StopAnswered(now time.Time, worker core.WorkerID, id jobs.TaskID, run uint64, r Reply) {
 	s.now = now
-	if r == ReplyOtherIncarnation {
-		s.IncarnationEnded(now, worker)
-		return
-	}
 	if r != ReplyOK && r != ReplyStaleRun {
 		return
 	}
--- a/core/fleet/proof_test.go
+++ b/core/fleet/proof_test.go
@@ -85,3 +85,54 @@
 		f.advance(100 * time.Millisecond)
 	}
 }
+
+// TestEndedIncarnationListed guards against a living worker that counts as gone because
+// the list still holds an ended one at its address (review/3). Only an answer at the
+// address shows which of the two has ended.
+func TestEndedIncarnationListed(t *testing.T) {
+	for name, endedFirst := range map[string]bool{"before it": true, "after it": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(2, 2)
+			living, ended := f.workers[0], newWorkerInfo(7)
+			ended.Addr = living.Addr
+			listed := []fleet.WorkerInfo{living, f.workers[1], ended}
+			if endedFirst {
+				listed = []fleet.WorkerInfo{ended, living, f.workers[1]}
+			}
+			f.takeOver(f.workers)
+			is.Equal(len(f.starts(listed, f.workers[1:])), 0)
+			is.Equal(len(f.Roster()), 3)
+			f.HeartbeatFailed(f.now, ended.ID())
+			f.IncarnationEnded(f.now, ended)
+			is.Equal(len(f.Roster()), 2)
+			f.heartbeat(living, []fleet.ActiveRun{{Task: newTaskID("j", 0), Run: 1}}, nil)
+			is.Equal(len(f.starts(listed, nil)), 0)
+			state, _ := f.State("j")
+			is.Equal(state, jobs.Running)
+		})
+	}
+}
+
+// TestLateMisdirectedAnswer guards against an answer to an order for an earlier
+// incarnation or address that ends the runs of the present one (related to review/3).
+func TestLateMisdirectedAnswer(t *testing.T) {
+	for name, change := range map[string]func(*fleet.WorkerInfo){
+		"other incarnation": func(w *fleet.WorkerInfo) { w.Incarnation = w.Incarnation.Add(-time.Minute) },
+		"other address":     func(w *fleet.WorkerInfo) { w.Addr = newWorkerInfo(9).Addr },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, 2)
+			f.registerWorkers()
+			f.Accept(f.now, newJob("j", 1, false))
+			s := f.nextOrders(fleet.OrderStart)[0]
+			f.confirmStarts([]fleet.Order{s})
+			sent := s.Info
+			change(&sent)
+			f.IncarnationEnded(f.now, sent)
+			is.Equal(len(f.Roster()), 2)
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+		})
+	}
+}
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -227,13 +227,6 @@
 	s.rosterVersion++
 	i, _ := slices.BinarySearchFunc(s.sortedWorkers, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
 	s.sortedWorkers = slices.Insert(s.sortedWorkers, i, w)
-	// A port is bound by one process at a time, so another worker at the same
-	// address that is no longer listed has ended.
-	for _, o := range s.sortedWorkers {
-		if o != w && o.info.Addr == info.Addr && !o.listed {
-			o.fire(workerVanish)
-		}
-	}
 	return w
 }
 
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -60,6 +60,9 @@
 		if err != nil {
 			o.log.WithError(err).WithFields(logrus.Fields{"worker": ord.Worker, "order": callNames[ord.Kind], "reply": r.String()}).Warn("order not confirmed")
 		}
+		if r == fleet.ReplyOtherIncarnation {
+			o.scheduler.IncarnationEnded(now, ord.Info)
+		}
 		switch {
 		case r == fleet.ReplyFenced:
 			o.stepDown(now, "worker "+string(ord.Worker)+" has seen a later owner")
@@ -71,8 +74,6 @@
 		case r == fleet.ReplyOK:
 			o.scheduler.HeartbeatAnswered(now, ord.Worker, sent, lists)
 			o.stageRoster()
-		case r == fleet.ReplyOtherIncarnation:
-			o.scheduler.IncarnationEnded(now, ord.Worker)
 		default:
 			o.scheduler.HeartbeatFailed(now, ord.Worker)
 		}
