--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -28,8 +28,7 @@
 	drainMargin = 1500 * time.Millisecond
 	// maxOwnerGap is the longest interval between two readings of the list by
 	// the owner over which a worker that is missing from both counts as
-	// continuously missing. It is shorter than maxTrackerGap since the owner
-	// reads the list every 500 ms.
+	// continuously missing. The owner reads the list every 500 ms.
 	maxOwnerGap = 1500 * time.Millisecond
 	// maxFailedInRow is how many consecutive runs must fail on a worker before
 	// it is set aside.
@@ -182,12 +181,11 @@
 }
 
 // RestoreRoster adds the workers of the stored roster, which earlier owners may
-// have used. For the workers that are missing from the platform's list,
-// missingSince holds when this process first found them missing.
-func (s *Scheduler) RestoreRoster(infos []WorkerInfo, missingSince map[core.WorkerID]time.Time) {
+// have used.
+func (s *Scheduler) RestoreRoster(infos []WorkerInfo) {
 	for _, info := range infos {
 		if s.workers[info.ID()] == nil {
-			s.addWorker(info.ID(), info).missingSince = missingSince[info.ID()]
+			s.addWorker(info.ID(), info)
 		}
 	}
 }
@@ -247,27 +245,22 @@
 	w.info = info
 }
 
-// handleUnlisted handles a list without the worker. A worker that has drained is
-// gone at once, and any other that still answers keeps its runs. One that does
-// not answer is gone after goneDelay if it has no runs, and otherwise once its
-// lease has certainly expired. The platform removes an entry only after
-// ListTimeout without contact, so that much of the lease of a worker that has
-// never answered this owner has already passed.
+// handleUnlisted handles a list without the worker, on which nothing is placed any
+// more. A worker that has drained is gone at once, and any other that still answers
+// keeps its runs. One that does not answer is gone after goneDelay if it has no runs
+// or if they have certainly ended.
 func (w *Worker) handleUnlisted() {
 	s := w.scheduler
 	w.listed = false
 	if w.missingSince.IsZero() || !s.listedAt.IsZero() && s.now.Sub(s.listedAt) > maxOwnerGap {
 		w.missingSince = s.now
 	}
-	missing := s.now.Sub(w.missingSince)
-	remaining := time.Duration(float64(s.limits.Lease)/minClockRate) - s.limits.ListTimeout
 	switch {
 	case w.hasDrained():
-	case missing < goneDelay:
+	case s.now.Sub(w.missingSince) < goneDelay:
 		return
 	case w.state == workerSilent && w.hasNoRuns():
 	case w.state == workerLapsed:
-	case w.state == workerFresh && missing >= remaining:
 	default:
 		return
 	}
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -323,7 +323,7 @@
 			opts = append(opts, fleet.WithLostState())
 		}
 		o.scheduler, o.lastOwnedEpoch = fleet.New(now, epoch, o.limits, o.policy, opts...), epoch
-		o.scheduler.RestoreRoster(snapshot.Roster, o.absence.MissingSince())
+		o.scheduler.RestoreRoster(snapshot.Roster)
 		o.rosterToStore, o.rosterVersion = nil, 0
 		o.meter.SetOwning(true)
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -114,9 +114,6 @@
 	workerList fleet.WorkerList
 	// unusable holds why entries of that list cannot be used, as logged.
 	unusable map[core.WorkerID]string
-	// absence tracks workers that the platform no longer lists, also while another
-	// process owns the fleet.
-	absence *fleet.AbsenceTracker
 	// workerListAt is when the last worker list arrived; zero before the first.
 	workerListAt time.Time
 
@@ -175,7 +172,7 @@
 func New(l *loop.Loop, deps Deps, self elect.Record, claimDelay time.Duration, limits fleet.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
-		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), absence: fleet.NewAbsenceTracker(), changesInterval: maxChangesInterval,
+		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), changesInterval: maxChangesInterval,
 		onOwner: func(elect.Record, bool) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
 		drained: make(chan struct{}),
 	}
--- a/io/owner/workers.go
+++ b/io/owner/workers.go
@@ -41,7 +41,6 @@
 			o.logUnusable(list.Unusable)
 			o.workerList, o.workerListAt = list, now
 			o.nextWorkersRead = now.Add(o.workersReadDelay())
-			o.absence.Observe(now, list)
 			o.onWorkers(list.Workers)
 			if o.scheduler != nil {
 				o.scheduler.SetWorkers(now, list)
