--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -336,7 +336,7 @@
 		return
 	}
 	s.misdirected.add(w.info)
-	s.logDecision(Decision{Event: "worker has ended", Worker: w.id, Reason: "another one answers at its address"})
+	s.logDecision(Decision{Event: "worker has ended", Worker: w.id, Reason: string(proofReplaced)})
 	w.fire(workerVanish)
 	s.removeGone()
 	s.resolveRecovered()
@@ -366,8 +366,8 @@
 		if w.state == workerLive || w.state == workerLapsed {
 			continue
 		}
-		if p := w.endProof(); p != noProof {
-			s.logDecision(Decision{Event: "worker does not answer; its runs have ended", Worker: w.id, Reason: string(p)})
+		if w.leaseExpired() {
+			s.logDecision(Decision{Event: "worker does not answer; its runs have ended", Worker: w.id, Reason: string(proofLease)})
 			w.fire(workerLapse)
 		}
 	}
--- a/core/fleet/proof.go
+++ b/core/fleet/proof.go
@@ -6,25 +6,27 @@
 // said so. The platform's list shows who registers, not what runs: that a worker is
 // missing from it means that nothing more is placed there, and is no proof by itself.
 
+// drainMargin is subtracted from the platform's ListTimeout when an entry's last renewal
+// shows that it was not removed by time-out, for the store's rounding.
+const drainMargin = 500 * time.Millisecond
+
 // proof is why all runs that any owner has started on a worker have certainly ended.
 type proof string
 
 const (
-	// noProof means that runs may be active.
-	noProof proof = ""
 	// proofLease means that the longest lease that any owner has granted has expired
 	// on the slowest clock.
 	proofLease proof = "its lease has expired"
+	// proofDrained means that the worker announced its end and that the platform has
+	// removed its entry sooner than it does for silence.
+	proofDrained proof = "it has drained"
+	// proofReplaced means that another worker answers at its address.
+	proofReplaced proof = "another one answers at its address"
+	// proofIdle means that the worker answered this owner and had no runs, and that
+	// none can have started since.
+	proofIdle proof = "it had no runs"
 )
 
-// endProof returns why all runs on the worker have certainly ended.
-func (w *Worker) endProof() proof {
-	if w.leaseExpired() {
-		return proofLease
-	}
-	return noProof
-}
-
 // leaseExpired reports whether the lease of all runs on the worker has certainly
 // expired. The leases on a worker that has not answered this owner were granted by
 // earlier owners; the orders of these are refused once it has answered.
@@ -37,6 +39,20 @@
 	return clock > w.leaseUntil+leaseSlack
 }
 
+// hasDrained reports whether the entry of a worker that is missing from a list received
+// at the given time was removed because the worker drained: it was leaving, and its last
+// renewal is too recent for a removal by time-out.
+func (w *Worker) hasDrained(listReceivedAt time.Duration) bool {
+	silence := listReceivedAt - w.renewedAfter
+	return w.info.Leaving && w.renewedAfter > 0 && silence < w.scheduler.limits.ListTimeout-drainMargin
+}
+
+// hasNoRuns reports whether the worker has no runs, none can start there, and
+// all ends that have been handled are acknowledged.
+func (w *Worker) hasNoRuns() bool {
+	return len(w.tasks) == 0 && len(w.orphans) == 0 && len(w.unknownRuns) == 0 && w.blockedSince.IsZero() && w.ackedEnd == w.handledEnd
+}
+
 // onSlowestClock returns the longest time that passes while a worker's clock advances
 // by d.
 func onSlowestClock(d time.Duration) time.Duration {
--- a/core/fleet/proof_test.go
+++ b/core/fleet/proof_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 // starts lists workers, answers the heartbeats of those that are given, and returns the
 // starts that the scheduler orders.
 func (f *fixture) starts(listed, answering []fleet.WorkerInfo) []fleet.Order {
-	f.SetWorkers(f.now, fleet.WorkerList{Workers: listed})
+	f.SetWorkers(f.now, f.list(listed))
 	f.RosterStored(f.Roster())
 	f.Tick(f.now)
 	var out []fleet.Order
@@ -176,3 +177,47 @@
 		f.advance(100 * time.Millisecond)
 	}
 }
+
+// TestDrainingWorkerOfEarlierOwner guards against a draining worker that counts as ended
+// because the platform drops its entry for silence towards the store soon after a change
+// of owner (review/5). Only a renewal that this owner has seen dates the entry.
+func TestDrainingWorkerOfEarlierOwner(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 2)
+	roster := f.workers
+	f.takeOver(roster)
+	draining := roster[1]
+	draining.Leaving, draining.Renewals = true, 7
+	run := []fleet.ActiveRun{{Task: newTaskID("j", 0), Run: 1}}
+	for i := range 60 {
+		listed := []fleet.WorkerInfo{roster[0], draining}
+		if i > 20 {
+			listed = listed[:1]
+		}
+		is.Equal(len(f.starts(listed, roster[:1])), 0)
+		f.heartbeat(draining, run, nil)
+		f.advance(100 * time.Millisecond)
+	}
+}
+
+// TestDrainingWorkerBehindOutage guards against an entry that counts as renewed when the
+// owner reads the list again after a pause (related to review/5): the renewal is older
+// than the list that shows it, and so the platform may have dropped the entry for silence.
+func TestDrainingWorkerBehindOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 2)
+	f.registerWorkers()
+	f.Accept(f.now, newJob("j", 1, false))
+	s := f.nextOrders(fleet.OrderStart)[0]
+	f.confirmStarts([]fleet.Order{s})
+	listed := append([]fleet.WorkerInfo{}, f.workers...)
+	i := slices.IndexFunc(listed, func(w fleet.WorkerInfo) bool { return w.ID() == s.Worker })
+	listed[i].Leaving, listed[i].Renewals = true, 7
+	f.advance(4 * time.Second)
+	f.SetWorkers(f.now, f.list(listed))
+	f.advance(500 * time.Millisecond)
+	f.SetWorkers(f.now, f.list(slices.Delete(slices.Clone(listed), i, i+1)))
+	f.heartbeat(s.Info, []fleet.ActiveRun{{Task: s.Task, Run: s.Run}}, nil)
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+	is.Equal(len(f.Roster()), 2)
+}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -89,8 +89,10 @@
 	adviceStats map[core.Queue]adviceStats
 	// rosterVersion is incremented when the roster changes.
 	rosterVersion uint64
-	// listedAt is when the list of workers was last read.
-	listedAt time.Time
+	// listedAt is when the list of workers was last read, listRequestedAt when that
+	// list was requested, on the clock of WorkerList.
+	listedAt        time.Time
+	listRequestedAt time.Duration
 	// earlierLeasesEnd is when every lease that an earlier owner has granted has
 	// certainly expired.
 	earlierLeasesEnd time.Time
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -33,10 +33,16 @@
 	return f
 }
 
+// list returns a list that is requested and received now.
+func (f *fixture) list(workers []fleet.WorkerInfo) fleet.WorkerList {
+	uptime := time.Hour + f.now.Sub(startTime)
+	return fleet.WorkerList{Workers: workers, RequestedAt: uptime, ReceivedAt: uptime}
+}
+
 // registerWorkers lists all workers, stores the roster, and has each worker answer a
 // heartbeat.
 func (f *fixture) registerWorkers() {
-	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
+	f.SetWorkers(f.now, f.list(f.workers))
 	f.RosterStored(f.Roster())
 	for _, w := range f.workers {
 		f.heartbeat(w, nil, nil)
@@ -174,11 +180,11 @@
 					remaining = append(remaining, f.workers[i])
 				}
 			}
-			f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
+			f.SetWorkers(f.now, f.list(f.workers))
 			f.advance(c.sinceRenewal)
 			f.heartbeat(remaining[0], nil, nil)
 			f.HeartbeatFailed(f.now, first[0].Worker)
-			f.SetWorkers(f.now, fleet.WorkerList{Workers: remaining})
+			f.SetWorkers(f.now, f.list(remaining))
 			is.Equal(len(f.nextOrders(fleet.OrderStart)) == 1, c.startsAtOnce)
 		})
 	}
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -23,9 +23,6 @@
 	// before it counts as gone. Entries that lapse while the store is
 	// unavailable reappear within 2 s of its return.
 	goneDelay = 2500 * time.Millisecond
-	// An entry that is removed more than drainMargin before the platform's
-	// ListTimeout was removed because its worker drained.
-	drainMargin = 1500 * time.Millisecond
 	// maxOwnerGap is the longest interval between two readings of the list by
 	// the owner over which a worker that is missing from both counts as
 	// continuously missing. The owner reads the list every 500 ms.
@@ -58,6 +55,9 @@
 	// Unusable holds the entries that describe no usable worker, each with an ID that
 	// no entry of Workers has.
 	Unusable []UnusableEntry
+	// RequestedAt and ReceivedAt are when the list was requested and received, on a
+	// clock that counts suspensions of the VM; 0 if not known.
+	RequestedAt, ReceivedAt time.Duration
 }
 
 // UnusableEntry is an entry of the platform's list that describes no usable worker.
@@ -99,8 +99,9 @@
 	// entryUnusable is set while the worker's entry in the list cannot be used. What
 	// the last usable one said of the worker holds on, but nothing is placed on it.
 	entryUnusable bool
-	// renewedAt is when the last renewal of the entry was seen.
-	renewedAt time.Time
+	// renewedAfter is a time before the last renewal of the entry, on the clock of
+	// WorkerList; 0 if this owner has seen no renewal.
+	renewedAfter time.Duration
 	// free is the room that neither tasks nor orphaned runs hold.
 	free    core.Resources
 	tasks   map[jobs.TaskID]*Task
@@ -171,10 +172,10 @@
 	}
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		if !listed[w.id] {
-			w.handleUnlisted()
+			w.handleUnlisted(list.ReceivedAt)
 		}
 	}
-	s.listedAt = now
+	s.listedAt, s.listRequestedAt = now, list.RequestedAt
 	s.removeGone()
 	s.resolveRecovered()
 	s.needsPlacement = true
@@ -228,10 +229,12 @@
 	return w
 }
 
-// updateInfo updates the worker from its entry in the platform's list.
+// updateInfo updates the worker from its entry in the platform's list. An entry that
+// differs from the one in the list before has been renewed since that was requested. An
+// owner's first list shows no renewal: the stored roster may hold any older entry.
 func (w *Worker) updateInfo(info WorkerInfo) {
 	if info.Renewals != w.info.Renewals {
-		w.renewedAt = w.scheduler.now
+		w.renewedAfter = w.scheduler.listRequestedAt
 	}
 	w.listed, w.entryUnusable, w.missingSince = true, false, time.Time{}
 	if info.Capacity != w.info.Capacity {
@@ -249,37 +252,29 @@
 // more. A worker that has drained is gone at once, and any other that still answers
 // keeps its runs. One that does not answer is gone after goneDelay if it has no runs
 // or if they have certainly ended.
-func (w *Worker) handleUnlisted() {
+func (w *Worker) handleUnlisted(listReceivedAt time.Duration) {
 	s := w.scheduler
 	w.listed = false
 	if w.missingSince.IsZero() || !s.listedAt.IsZero() && s.now.Sub(s.listedAt) > maxOwnerGap {
 		w.missingSince = s.now
 	}
+	var reason proof
 	switch {
-	case w.hasDrained():
+	case w.hasDrained(listReceivedAt):
+		reason = proofDrained
 	case s.now.Sub(w.missingSince) < goneDelay:
 		return
 	case w.state == workerSilent && w.hasNoRuns():
+		reason = proofIdle
 	case w.state == workerLapsed:
+		reason = proofLease
 	default:
 		return
 	}
+	s.logDecision(Decision{Event: "worker is gone", Worker: w.id, Reason: string(reason)})
 	w.fire(workerVanish)
 }
 
-// hasDrained reports whether the worker's entry was removed because it drained:
-// it was leaving, and its last renewal is too recent for a removal by time-out.
-func (w *Worker) hasDrained() bool {
-	s := w.scheduler
-	return w.info.Leaving && !w.renewedAt.IsZero() && s.now.Sub(w.renewedAt) < s.limits.ListTimeout-drainMargin
-}
-
-// hasNoRuns reports whether the worker has no runs, none can start there, and
-// all ends that have been handled are acknowledged.
-func (w *Worker) hasNoRuns() bool {
-	return len(w.tasks) == 0 && len(w.orphans) == 0 && len(w.unknownRuns) == 0 && w.blockedSince.IsZero() && w.ackedEnd == w.handledEnd
-}
-
 // removeGone removes the workers that are gone.
 func (s *Scheduler) removeGone() {
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *Worker) bool {
--- a/io/owner/workers.go
+++ b/io/owner/workers.go
@@ -6,6 +6,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/fleet"
+	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 )
 
@@ -30,7 +31,9 @@
 	}
 	o.workersReadInFlight = true
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
+		requested := clock.BootTime()
 		list, err := guard.Call(func() (fleet.WorkerList, error) { return o.lister.Workers(ctx) })
+		list.RequestedAt, list.ReceivedAt = requested, clock.BootTime()
 		return func(o *Owner, now time.Time) {
 			o.workersReadInFlight = false
 			if err != nil {
