An owner whose write is contested sends no orders until it has read its record

What could be seen: around a change of owner, the former one went on renewing leases and starting tasks after its write had already found the ownership record changed, for as long as the read that followed took (up to 3 s on a slow store).

Cause: a conflict was handled like a write without an answer, which leaves the owner in its office until the record has been read.

Change: after a conflict an owner counts as suspended until the read confirms it. The overlap of two owners, on which the end of earlier leases rests (core/fleet/proof.go), is then one renewal interval and one write.

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -110,8 +110,8 @@
 	endedHolder core.SessionID
 	// suspectHolder names an incarnation that does not answer this process.
 	suspectHolder core.SessionID
-	// suspended is set after a suspension or a stall until the record has been
-	// confirmed.
+	// suspended is set after a suspension, a stall or a contested write until the
+	// record has been confirmed.
 	suspended bool
 }
 
@@ -289,6 +289,14 @@
 	e.fire(eventFailed)
 }
 
+// WriteContested handles a write without effect because the row had changed: another
+// process has claimed it, or an earlier write of this process without an answer has taken
+// effect. Until the row has been read, no orders may be sent.
+func (e *Election) WriteContested() {
+	e.WriteUnknown()
+	e.suspended = e.IsHolder()
+}
+
 // WriteRefused handles a write that is known not to have taken effect.
 func (e *Election) WriteRefused() { e.fire(eventFailed) }
 
@@ -304,7 +312,7 @@
 
 // CheckSuspension reports whether orders may be sent. An owner must first confirm
 // its record if its process was suspended, or stalled for so long that others may
-// have claimed the record. bootTime is a clock that counts suspended time,
+// have claimed the record, or if a write found the record changed. bootTime is a clock that counts suspended time,
 // monotonic one that does not.
 func (e *Election) CheckSuspension(bootTime, monotonic time.Duration) bool {
 	skew := bootTime - monotonic
@@ -316,6 +324,5 @@
 	return !e.suspended
 }
 
-// Suspended reports whether the owner must confirm its record after a suspension
-// or a stall.
+// Suspended reports whether the owner must confirm its record before it sends orders.
 func (e *Election) Suspended() bool { return e.suspended }
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -199,6 +199,25 @@
 	is.True(e.CheckSuspension(time.Hour+3100*time.Millisecond, time.Hour+3100*time.Millisecond))
 }
 
+// TestContestedWrite guards against an owner that goes on sending orders after a write
+// has shown that another process may have claimed its record. It may send orders again
+// once it has read that the record is its own.
+func TestContestedWrite(t *testing.T) {
+	is := is.New(t)
+	e := newElection()
+	free := otherRecord(9)
+	free.Holder = ""
+	is.True(e.Observe(at(0), elect.Observation{Record: free, Version: 4}))
+	rec, _ := e.NextRecord(start)
+	e.WriteSucceeded(at(10), rec, 5, 0)
+	is.True(e.CheckSuspension(time.Hour, time.Hour))
+	e.WriteContested()
+	is.True(!e.CheckSuspension(time.Hour, time.Hour))
+	is.True(e.MustRead())
+	e.Observe(at(50), elect.Observation{Record: rec, Version: 6})
+	is.True(e.CheckSuspension(time.Hour, time.Hour))
+}
+
 func TestClaimAfterResignation(t *testing.T) {
 	is := is.New(t)
 	e := newElection()
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -214,7 +214,7 @@
 		// this process, which had no answer, took effect late. Reading the record
 		// shows which.
 		o.log.WithError(err).Warn("ownership record has changed")
-		o.election.WriteUnknown()
+		o.election.WriteContested()
 		o.nextRecordRead = now
 	case record.Refused(err):
 		o.log.WithError(err).Warn("store refused the owner's write")
