--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -57,10 +57,11 @@
 	stopped  bool
 	inFlight []sentOrder
 	// writtenAt is when the write in flight takes effect; zero if there is none.
-	// The write holds batch and roster.
-	writtenAt time.Time
-	batch     []jobs.Progress
-	roster    []fleet.WorkerInfo
+	// The write holds batch and, if it has changed, the roster of rosterVersion.
+	writtenAt     time.Time
+	batch         []jobs.Progress
+	roster        []fleet.WorkerInfo
+	rosterVersion uint64
 }
 
 // sentOrder is an order in flight.
@@ -101,6 +102,9 @@
 	// unannounced are stored jobs that the current owner reads at its next read of
 	// the store.
 	unannounced []jobs.Spec
+	// list returns the list of workers that an owner reads, or false if it cannot be
+	// read.
+	list func() (fleet.WorkerList, bool)
 	// lossRate is the share of orders whose answer is lost, delayRate the share of
 	// those orders that are also executed seconds late.
 	lossRate, delayRate float64
@@ -114,10 +118,22 @@
 	for i := range workers {
 		h.workers = append(h.workers, model.New(newWorkerInfo(i), h, startTime, 0.98+0.02*h.rng.Float64(), leaseDuration))
 	}
+	h.list = h.listUp
 	h.addOwner()
 	return h
 }
 
+// listUp lists the workers that are up.
+func (h *harness) listUp() (fleet.WorkerList, bool) {
+	var list fleet.WorkerList
+	for _, w := range h.workers {
+		if w.Up {
+			list.Workers = append(list.Workers, w.Info)
+		}
+	}
+	return list, true
+}
+
 // Task implements model.Tasks.
 func (h *harness) Task(id jobs.TaskID) model.TaskSpec {
 	p := h.specs[id.Job].Phases[id.Phase]
@@ -150,13 +166,9 @@
 func (h *harness) currentOwner() *simOwner { return h.owners[len(h.owners)-1] }
 
 func (h *harness) listWorkers(o *simOwner) {
-	var listed []fleet.WorkerInfo
-	for _, w := range h.workers {
-		if w.Up {
-			listed = append(listed, w.Info)
-		}
+	if list, ok := h.list(); ok {
+		o.scheduler.SetWorkers(h.now, list)
 	}
-	o.scheduler.SetWorkers(h.now, fleet.WorkerList{Workers: listed})
 }
 
 func (h *harness) submit(spec jobs.Spec) {
@@ -243,16 +255,18 @@
 }
 
 func (h *harness) execute(o *simOwner, sent sentOrder) {
-	w := h.worker(sent.order.Worker)
+	w := h.workerAt(sent.order)
 	reply, lists := fleet.ReplyUnanswered, fleet.RunLists{}
 	// Orders sent to an earlier incarnation of the worker are lost.
 	if w.Up && !w.Unreachable && !w.Info.Incarnation.After(sent.sentAt) {
-		switch sent.order.Kind {
-		case fleet.OrderStart:
+		switch kind := sent.order.Kind; {
+		case w.Info.ID() != sent.order.Worker:
+			reply = fleet.ReplyOtherIncarnation
+		case kind == fleet.OrderStart:
 			reply = w.Start(sent.order)
-		case fleet.OrderStop:
+		case kind == fleet.OrderStop:
 			reply = w.Stop(sent.order, stopDelay)
-		case fleet.OrderHeartbeat:
+		case kind == fleet.OrderHeartbeat:
 			// The client acknowledges ends only on a connection of the incarnation that
 			// listed them.
 			if !sent.order.Info.Incarnation.Equal(w.Info.Incarnation) {
@@ -281,14 +295,18 @@
 	}
 }
 
-func (h *harness) worker(id core.WorkerID) *model.Worker {
-	return h.workers[slices.IndexFunc(h.workers, func(w *model.Worker) bool { return w.Info.ID() == id })]
+// workerAt returns the worker at the address to which an order is sent.
+func (h *harness) workerAt(o fleet.Order) *model.Worker {
+	return h.workers[slices.IndexFunc(h.workers, func(w *model.Worker) bool { return w.Info.Addr == o.Info.Addr })]
 }
 
 func (h *harness) answer(o *simOwner, sent sentOrder, l fleet.RunLists, r fleet.Reply) {
 	if sent.order.Wait < 0 {
 		return
 	}
+	if r == fleet.ReplyOtherIncarnation {
+		o.scheduler.IncarnationEnded(h.now, sent.order.Info)
+	}
 	switch {
 	case r == fleet.ReplyFenced:
 		o.stopped = true
@@ -299,7 +317,7 @@
 	case r == fleet.ReplyOK:
 		for _, e := range l.Ended {
 			if _, known := h.reportedEnds[e.Task]; !known && e.Kind == fleet.EndDone {
-				w := h.worker(sent.order.Worker)
+				w := h.workerAt(sent.order)
 				h.reportedEnds[e.Task] = endReport{h.now, w, w.Info.Incarnation, w.LastLapse.After(endTime(w, e))}
 			}
 		}
@@ -330,11 +348,16 @@
 		for _, p := range o.batch {
 			h.storedProgress[p.Job] = p
 		}
-		h.storedRoster = o.roster
 		o.scheduler.BatchStored(h.now)
-		o.scheduler.RosterStored(o.roster)
+		if o.roster != nil {
+			h.storedRoster = o.roster
+			o.scheduler.RosterStored(o.roster)
+		}
+	}
+	o.batch, o.roster = o.scheduler.Batch(), nil
+	if v := o.scheduler.RosterVersion(); v != o.rosterVersion {
+		o.roster, o.rosterVersion = o.scheduler.Roster(), v
 	}
-	o.batch, o.roster = o.scheduler.Batch(), o.scheduler.Roster()
 	o.writtenAt = h.now.Add(time.Duration(10+h.rng.IntN(400)) * time.Millisecond)
 }
 
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -342,7 +342,7 @@
 	o.changesVersion = snapshot.Version
 	o.nextWorkersRead, o.nextChangesRead, o.nextTick = now, now, now
 	o.election.StateLoaded()
-	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "workers": len(o.workerList.Workers), "took": loaded.took.Round(time.Millisecond).String()}).Info("owning the fleet")
+	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}).Info("owning the fleet")
 	o.onOwner(o.announcedRecord, true)
 }
 
