A new owner waits only for workers that the roster names as possibly running

Change: the roster lacks the workers that have lapsed, and a new owner waits only for workers of the stored roster. A worker that answers again enters the roster anew and is used once that roster is stored; one that was made before does not count, also when its write ends later (rosters have versions).

Why it works: tasks are placed only on incarnations in a stored roster, and a worker leaves the roster only when its runs have certainly ended.

Tests: TestRosterOmitsEndedWorkers, TestOnlyInheritedWorkersAreAwaited. TestWorkerAnswersAgain now also asks that a worker is not used before its return is stored. TestGangLacksMember and TestLeaseOfEarlierOwner restore the roster, as an owner does: they had runs of an earlier owner on workers that its roster did not name.

--- a/core/fleet/charts.go
+++ b/core/fleet/charts.go
@@ -72,7 +72,7 @@
 		*st = jobChart.State(name)
 	}
 
-	workerChart = chart.Must(chart.Load(workerText, nil, map[string]chart.Action[*Worker]{"end": (*Worker).endRuns}))
+	workerChart = chart.Must(chart.Load(workerText, nil, map[string]chart.Action[*Worker]{"end": (*Worker).endRuns, "roster": (*Worker).changeRoster}))
 	for name, ev := range map[string]*chart.Event{
 		"answer": &workerAnswer, "miss": &workerMiss, "lapse": &workerLapse, "vanish": &workerVanish,
 	} {
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -94,8 +94,8 @@
 	if w.info.Incarnation.Equal(incarnation) {
 		return
 	}
-	w.info.Incarnation, w.inRoster = incarnation, false
-	w.scheduler.rosterVersion++
+	w.info.Incarnation = incarnation
+	w.changeRoster()
 }
 
 // applyEnds handles the listed ends that are new. At the first end of an
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -351,12 +351,12 @@
 		o.scheduler.BatchStored(h.now)
 		if o.roster != nil {
 			h.storedRoster = o.roster
-			o.scheduler.RosterStored(o.roster)
+			o.scheduler.RosterStored(o.roster, o.rosterVersion)
 		}
 	}
 	o.batch, o.roster = o.scheduler.Batch(), nil
 	if v := o.scheduler.RosterVersion(); v != o.rosterVersion {
-		o.roster, o.rosterVersion = o.scheduler.Roster(), v
+		o.roster, o.rosterVersion = o.scheduler.Roster()
 	}
 	o.writtenAt = h.now.Add(time.Duration(10+h.rng.IntN(400)) * time.Millisecond)
 }
--- a/core/fleet/proof_test.go
+++ b/core/fleet/proof_test.go
@@ -59,12 +59,12 @@
 	f.takeOver(f.workers)
 	listed := append([]fleet.WorkerInfo{foreign}, f.workers...)
 	starts := f.starts(listed, f.workers)
-	is.Equal(len(f.Roster()), 2)
+	is.Equal(len(f.roster()), 2)
 	starts = append(starts, f.starts(listed, f.workers)...)
 	is.Equal(len(starts), 1)
 	f.SetPolicy(newPolicyOf("s", foreign.Service))
 	f.starts(listed, f.workers)
-	is.Equal(len(f.Roster()), 3)
+	is.Equal(len(f.roster()), 3)
 }
 
 // TestListedWorkerNeverAnswers guards against a listed worker that holds up the recovered
@@ -103,10 +103,10 @@
 			}
 			f.takeOver(f.workers)
 			is.Equal(len(f.starts(listed, f.workers[1:])), 0)
-			is.Equal(len(f.Roster()), 3)
+			is.Equal(len(f.roster()), 3)
 			f.HeartbeatFailed(f.now, ended.ID())
 			f.IncarnationEnded(f.now, ended)
-			is.Equal(len(f.Roster()), 2)
+			is.Equal(len(f.roster()), 2)
 			f.heartbeat(living, []fleet.ActiveRun{{Task: newTaskID("j", 0), Run: 1}}, nil)
 			is.Equal(len(f.starts(listed, nil)), 0)
 			state, _ := f.State("j")
@@ -132,7 +132,7 @@
 			sent := s.Info
 			change(&sent)
 			f.IncarnationEnded(f.now, sent)
-			is.Equal(len(f.Roster()), 2)
+			is.Equal(len(f.roster()), 2)
 			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
 		})
 	}
@@ -219,5 +219,39 @@
 	f.SetWorkers(f.now, f.list(slices.Delete(slices.Clone(listed), i, i+1)))
 	f.heartbeat(s.Info, []fleet.ActiveRun{{Task: s.Task, Run: s.Run}}, nil)
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
-	is.Equal(len(f.Roster()), 2)
+	is.Equal(len(f.roster()), 2)
+}
+
+// TestRosterOmitsEndedWorkers guards against a change of owner that makes the fleet wait
+// again for a worker whose runs the former owner knew to have ended. The worker is used
+// again only once a roster that was made after its return has been stored.
+func TestRosterOmitsEndedWorkers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 2)
+	f.registerWorkers()
+	before, version := f.Roster()
+	for range 80 {
+		f.advance(100 * time.Millisecond)
+		f.starts(f.workers, f.workers[:1])
+	}
+	is.Equal(len(f.roster()), 1)
+	f.heartbeat(f.workers[1], nil, nil)
+	is.Equal(len(f.roster()), 2)
+	f.RosterStored(before, version) // this write was in flight since before the silence
+	f.Accept(f.now, newJob("k", 8, false))
+	for _, o := range f.nextOrders(fleet.OrderStart) {
+		is.Equal(o.Worker, f.workers[0].ID())
+	}
+	f.RosterStored(f.Roster())
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 4) // the room of the worker that is back
+}
+
+// TestOnlyInheritedWorkersAreAwaited checks that a new owner waits for no worker that is
+// listed and not in the stored roster: no earlier owner can have used it.
+func TestOnlyInheritedWorkersAreAwaited(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 2)
+	f.takeOver(f.workers[:1])
+	starts := append(f.starts(f.workers, f.workers[:1]), f.starts(f.workers, f.workers[:1])...)
+	is.Equal(len(starts), 1)
 }
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -17,14 +17,14 @@
 	is := is.New(t)
 	f := newFixture(1, 1)
 	f.registerWorkers()
-	oldRoster := f.Roster()
+	oldRoster, oldVersion := f.Roster()
 	restarted := f.workers[0]
 	restarted.Incarnation = f.now
 	f.advance(time.Second)
 	f.heartbeat(restarted, nil, nil)
 	f.Accept(f.now, newJob("j", 1, false))
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
-	f.RosterStored(oldRoster) // this write was in flight during the restart
+	f.RosterStored(oldRoster, oldVersion) // this write was in flight during the restart
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
 	f.RosterStored(f.Roster())
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 1)
@@ -50,7 +50,7 @@
 			f.heartbeat(restarted, nil, nil)
 			f.Accept(f.now, newJob("j", 1, false))
 			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
-			is.Equal(f.Roster()[0].Incarnation, restarted.Incarnation)
+			is.Equal(f.roster()[0].Incarnation, restarted.Incarnation)
 			f.RosterStored(f.Roster())
 			is.Equal(len(f.nextOrders(fleet.OrderStart)), 1)
 		})
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -493,7 +493,9 @@
 
 // unreported reports whether the worker may run, or may have ended, tasks
 // without the scheduler's knowledge.
-func (w *Worker) unreported() bool { return w.state == workerFresh || !w.blockedSince.IsZero() }
+func (w *Worker) unreported() bool {
+	return w.inherited && w.state == workerFresh || !w.blockedSince.IsZero()
+}
 
 // sumUnreportedCapacity returns the total capacity of the unreported workers.
 func (s *Scheduler) sumUnreportedCapacity() core.Resources {
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -39,6 +39,12 @@
 	return fleet.WorkerList{Workers: workers, RequestedAt: uptime, ReceivedAt: uptime}
 }
 
+// roster returns the workers of the roster.
+func (f *fixture) roster() []fleet.WorkerInfo {
+	workers, _ := f.Roster()
+	return workers
+}
+
 // registerWorkers lists all workers, stores the roster, and has each worker answer a
 // heartbeat.
 func (f *fixture) registerWorkers() {
@@ -147,6 +153,8 @@
 	}
 	f.heartbeat(f.workers[0], nil, nil)
 	f.Accept(f.now, newJob("j", 1, false))
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0) // it is not in the stored roster yet
+	f.RosterStored(f.Roster())
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 1)
 }
 
@@ -203,7 +211,7 @@
 		f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers[1:]})
 		f.advance(500 * time.Millisecond)
 	}
-	is.Equal(len(f.Roster()), 1)
+	is.Equal(len(f.roster()), 1)
 }
 
 // TestEndOfUnknownJob checks that a task does not run again if its end reaches a new
@@ -346,6 +354,7 @@
 func TestGangLacksMember(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2, 2)
+	f.RestoreRoster(f.workers)
 	f.Load(f.now, []jobs.Spec{newJob("j", 2, true)}, nil)
 	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
@@ -367,6 +376,7 @@
 func TestLeaseOfEarlierOwner(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2, 2)
+	f.RestoreRoster(f.workers)
 	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
 	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -89,9 +89,13 @@
 	nameHash uint64
 	state    chart.State
 	info     WorkerInfo
-	// inRoster is set once this incarnation is in the stored roster, which a
-	// later owner reads.
-	inRoster bool
+	// inherited is set if the worker was in the stored roster when this owner took
+	// over. On no other worker can earlier owners have started runs.
+	inherited bool
+	// inRoster is set while this incarnation is in the stored roster, which a later
+	// owner reads. Rosters older than rosterSince do not count.
+	inRoster    bool
+	rosterSince uint64
 	// listed is set while the platform lists the worker; if it is not set,
 	// missingSince is when the worker was first found missing.
 	listed       bool
@@ -186,7 +190,7 @@
 func (s *Scheduler) RestoreRoster(infos []WorkerInfo) {
 	for _, info := range infos {
 		if s.workers[info.ID()] == nil {
-			s.addWorker(info.ID(), info)
+			s.addWorker(info.ID(), info).inherited = true
 		}
 	}
 }
@@ -195,27 +199,37 @@
 func (s *Scheduler) RosterVersion() uint64 { return s.rosterVersion }
 
 // Roster returns the workers that must report to a later owner before it starts
-// tasks that this owner may have started.
-func (s *Scheduler) Roster() []WorkerInfo {
+// tasks that this owner may have started, and the version of this roster. It lacks
+// the workers whose runs have certainly ended.
+func (s *Scheduler) Roster() ([]WorkerInfo, uint64) {
 	out := make([]WorkerInfo, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
-		out = append(out, w.info)
+		if w.state != workerLapsed {
+			out = append(out, w.info)
+		}
 	}
-	return out
+	return out, s.rosterVersion
+}
+
+// changeRoster records that the worker must be in the roster anew, or no longer: one that
+// is being written does not count for it.
+func (w *Worker) changeRoster() {
+	w.scheduler.rosterVersion++
+	w.inRoster, w.rosterSince = false, w.scheduler.rosterVersion
 }
 
-// RosterStored records which incarnations of workers are in the stored roster.
+// RosterStored records which incarnations of workers are in the stored roster of a version.
 // Tasks are placed on no others: an owner that does not know that it has been
 // replaced can store nothing, and so uses no worker that its successor does not
 // know.
-func (s *Scheduler) RosterStored(roster []WorkerInfo) {
+func (s *Scheduler) RosterStored(roster []WorkerInfo, version uint64) {
 	stored := make(map[core.WorkerID]time.Time, len(roster))
 	for _, info := range roster {
 		stored[info.ID()] = info.Incarnation
 	}
 	for _, w := range s.sortedWorkers {
 		incarnation, ok := stored[w.id]
-		w.inRoster = ok && incarnation.Equal(w.info.Incarnation)
+		w.inRoster = ok && incarnation.Equal(w.info.Incarnation) && version >= w.rosterSince
 	}
 	s.needsPlacement = true
 }
@@ -223,7 +237,7 @@
 func (s *Scheduler) addWorker(id core.WorkerID, info WorkerInfo) *Worker {
 	w := &Worker{id: id, scheduler: s, nameHash: xxhash.Sum64String(string(id)), state: workerChart.Start(), info: info, free: info.Capacity, tasks: map[jobs.TaskID]*Task{}}
 	s.workers[id] = w
-	s.rosterVersion++
+	w.changeRoster()
 	i, _ := slices.BinarySearchFunc(s.sortedWorkers, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
 	s.sortedWorkers = slices.Insert(s.sortedWorkers, i, w)
 	return w
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -241,7 +241,7 @@
 	if version == o.rosterVersion {
 		o.rosterToStore = nil
 	}
-	o.scheduler.RosterStored(roster)
+	o.scheduler.RosterStored(roster, version)
 	o.stageRoster()
 }
 
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -266,6 +266,7 @@
 func (o *Owner) tick(now time.Time) {
 	began := time.Now()
 	next := o.scheduler.Tick(now)
+	o.stageRoster()
 	o.dispatch(o.scheduler.Orders())
 	o.sendAdviceRequests(now)
 	o.sendRoomHint(now)
@@ -313,7 +314,7 @@
 // stageRoster adds the roster to the next write if it has changed.
 func (o *Owner) stageRoster() {
 	if v := o.scheduler.RosterVersion(); v != o.rosterVersion {
-		o.rosterVersion, o.rosterToStore = v, o.scheduler.Roster()
+		o.rosterToStore, o.rosterVersion = o.scheduler.Roster()
 	}
 }
 
