A silent worker holds back only the tasks that may run there

Cause: with the lease as the proof of an end, one worker that was lost less than a lease before a change of owner held the recovered tasks of the whole fleet for 7.2 s.

Change: once a worker has been silent for a second, its entry in the roster names all tasks that may run there or have ended there unrecorded; nothing more can start on a silent worker. A later owner holds back only these for it, and all tasks only for workers without such a list. The list is made only when all ends that the worker has reported are stored, and fits the row. A worker that answers again is given tasks only once a roster is stored that no longer holds the list; the leases of its runs are renewed at once.

TestStoredRowFormat compares the fields that build had; the added ones have a row of their own.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -59,6 +59,7 @@
 	if l.Clock >= w.clock {
 		w.clock, w.answeredAt = l.Clock, now
 	}
+	w.endAccount()
 	w.fire(workerAnswer)
 	if w.state == workerGone {
 		return
@@ -321,6 +322,9 @@
 	if w.state == workerFresh && w.listed {
 		w.nextHeartbeat = now.Add(firstHeartbeatRetry)
 	}
+	if w.state == workerLive {
+		w.silentSince = now
+	}
 	w.fire(workerMiss)
 	s.needsPlacement = true
 }
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -60,7 +60,7 @@
 	// The write holds batch and, if it has changed, the roster of rosterVersion.
 	writtenAt     time.Time
 	batch         []jobs.Progress
-	roster        []fleet.WorkerInfo
+	roster        []fleet.RosterEntry
 	rosterVersion uint64
 }
 
@@ -96,7 +96,7 @@
 	specs          map[core.JobID]jobs.Spec
 	storedSpecs    []jobs.Spec
 	storedProgress map[core.JobID]jobs.Progress
-	storedRoster   []fleet.WorkerInfo
+	storedRoster   []fleet.RosterEntry
 	// reportedEnds holds the ends of done tasks that an owner has read.
 	reportedEnds map[jobs.TaskID]endReport
 	// unannounced are stored jobs that the current owner reads at its next read of
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -49,6 +49,7 @@
 		s.unreportedCapacity = s.sumUnreportedCapacity()
 	}
 	s.lapseSilent()
+	s.accountForSilent()
 	s.orderHeartbeats()
 	s.repeatStops()
 	if s.needsPlacement {
--- a/core/fleet/proof_test.go
+++ b/core/fleet/proof_test.go
@@ -20,7 +20,7 @@
 // stored roster and one job, which an earlier owner may have started.
 func (f *fixture) takeOver(roster []fleet.WorkerInfo) {
 	f.Scheduler = newScheduler(f.now, 2)
-	f.RestoreRoster(roster)
+	f.RestoreRoster(rosterOf(roster))
 	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
 }
 
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -465,16 +465,28 @@
 // has reported.
 func (s *Scheduler) AllReported() bool { return s.allReported }
 
-// resolveRecovered lets the unresolved tasks start once every worker has reported or
-// its runs have certainly ended: a run that no worker listed does not exist.
+// resolveRecovered lets the unresolved tasks start once every worker that may run them
+// has reported or its runs have certainly ended: a run that no worker listed does not
+// exist. A worker may run any task unless its entry in the roster names its runs.
 func (s *Scheduler) resolveRecovered() {
-	if s.allReported && len(s.unresolved) == 0 || s.hasUnreportedWorkers() {
+	if s.allReported && len(s.unresolved) == 0 || slices.ContainsFunc(s.sortedWorkers, (*Worker).mayRunAny) {
 		return
 	}
 	s.allReported = true
-	s.needsPlacement = true
+	held := core.NewSet[jobs.TaskID]()
+	for _, w := range s.sortedWorkers {
+		if w.unreported() {
+			for _, id := range w.accountedRuns {
+				held.Add(id)
+			}
+		}
+	}
 	phases := map[*phase]struct{}{}
 	for t := range s.unresolved {
+		if held.Has(t.ID()) {
+			continue
+		}
+		s.needsPlacement = true
 		t.fire(taskClear)
 		phases[t.phase] = struct{}{}
 	}
@@ -497,6 +509,12 @@
 	return w.inherited && w.state == workerFresh || !w.blockedSince.IsZero()
 }
 
+// mayRunAny reports whether any task may run on the worker without the scheduler's
+// knowledge.
+func (w *Worker) mayRunAny() bool {
+	return w.unreported() && (!w.accounted || !w.blockedSince.IsZero())
+}
+
 // sumUnreportedCapacity returns the total capacity of the unreported workers.
 func (s *Scheduler) sumUnreportedCapacity() core.Resources {
 	var sum core.Resources
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -40,9 +40,18 @@
 }
 
 // roster returns the workers of the roster.
-func (f *fixture) roster() []fleet.WorkerInfo {
-	workers, _ := f.Roster()
-	return workers
+func (f *fixture) roster() []fleet.RosterEntry {
+	entries, _ := f.Roster()
+	return entries
+}
+
+// rosterOf returns a roster of workers.
+func rosterOf(workers []fleet.WorkerInfo) []fleet.RosterEntry {
+	var out []fleet.RosterEntry
+	for _, w := range workers {
+		out = append(out, fleet.RosterEntry{WorkerInfo: w})
+	}
+	return out
 }
 
 // registerWorkers lists all workers, stores the roster, and has each worker answer a
@@ -273,7 +282,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(2, 2)
-			f.RestoreRoster(f.workers)
+			f.RestoreRoster(rosterOf(f.workers))
 			old, young := newJob("old", 1, false), newJob("young", 1, false)
 			old.FirstEpoch, young.FirstEpoch = 1, c.firstEpoch
 			stored := []jobs.Spec{old}
@@ -310,7 +319,7 @@
 		is := is.New(t)
 		f := newFixture(epoch, 2)
 		f.Scheduler = fleet.New(startTime, epoch, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, newPolicy(core.Resources{}), fleet.WithLostState())
-		f.RestoreRoster(f.workers)
+		f.RestoreRoster(rosterOf(f.workers))
 		j := newJob("j", 1, false)
 		j.FirstEpoch = epoch
 		f.Load(f.now, []jobs.Spec{j}, nil)
@@ -335,7 +344,7 @@
 			is := is.New(t)
 			f := newFixture(2, 3)
 			f.SetPolicy(newPolicy(core.Resources{Cores: c.limit}))
-			f.RestoreRoster(f.workers)
+			f.RestoreRoster(rosterOf(f.workers))
 			old, young := newJob("old", 40, false), newJob("young", 4, false)
 			young.FirstEpoch = 2
 			f.Load(f.now, []jobs.Spec{old}, nil)
@@ -354,7 +363,7 @@
 func TestGangLacksMember(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2, 2)
-	f.RestoreRoster(f.workers)
+	f.RestoreRoster(rosterOf(f.workers))
 	f.Load(f.now, []jobs.Spec{newJob("j", 2, true)}, nil)
 	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
@@ -376,7 +385,7 @@
 func TestLeaseOfEarlierOwner(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2, 2)
-	f.RestoreRoster(f.workers)
+	f.RestoreRoster(rosterOf(f.workers))
 	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
 	f.SetWorkers(f.now, fleet.WorkerList{Workers: f.workers})
 	f.RosterStored(f.Roster())
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -96,6 +96,12 @@
 	// owner reads. Rosters older than rosterSince do not count.
 	inRoster    bool
 	rosterSince uint64
+	// accounted is set while the roster names the tasks that may run on the worker,
+	// which are accountedRuns, because it does not answer.
+	accounted     bool
+	accountedRuns []jobs.TaskID
+	// silentSince is when the worker missed the first heartbeat since its last answer.
+	silentSince time.Time
 	// listed is set while the platform lists the worker; if it is not set,
 	// missingSince is when the worker was first found missing.
 	listed       bool
@@ -185,55 +191,6 @@
 	s.needsPlacement = true
 }
 
-// RestoreRoster adds the workers of the stored roster, which earlier owners may
-// have used.
-func (s *Scheduler) RestoreRoster(infos []WorkerInfo) {
-	for _, info := range infos {
-		if s.workers[info.ID()] == nil {
-			s.addWorker(info.ID(), info).inherited = true
-		}
-	}
-}
-
-// RosterVersion returns a number that changes whenever the roster does.
-func (s *Scheduler) RosterVersion() uint64 { return s.rosterVersion }
-
-// Roster returns the workers that must report to a later owner before it starts
-// tasks that this owner may have started, and the version of this roster. It lacks
-// the workers whose runs have certainly ended.
-func (s *Scheduler) Roster() ([]WorkerInfo, uint64) {
-	out := make([]WorkerInfo, 0, len(s.sortedWorkers))
-	for _, w := range s.sortedWorkers {
-		if w.state != workerLapsed {
-			out = append(out, w.info)
-		}
-	}
-	return out, s.rosterVersion
-}
-
-// changeRoster records that the worker must be in the roster anew, or no longer: one that
-// is being written does not count for it.
-func (w *Worker) changeRoster() {
-	w.scheduler.rosterVersion++
-	w.inRoster, w.rosterSince = false, w.scheduler.rosterVersion
-}
-
-// RosterStored records which incarnations of workers are in the stored roster of a version.
-// Tasks are placed on no others: an owner that does not know that it has been
-// replaced can store nothing, and so uses no worker that its successor does not
-// know.
-func (s *Scheduler) RosterStored(roster []WorkerInfo, version uint64) {
-	stored := make(map[core.WorkerID]time.Time, len(roster))
-	for _, info := range roster {
-		stored[info.ID()] = info.Incarnation
-	}
-	for _, w := range s.sortedWorkers {
-		incarnation, ok := stored[w.id]
-		w.inRoster = ok && incarnation.Equal(w.info.Incarnation) && version >= w.rosterSince
-	}
-	s.needsPlacement = true
-}
-
 func (s *Scheduler) addWorker(id core.WorkerID, info WorkerInfo) *Worker {
 	w := &Worker{id: id, scheduler: s, nameHash: xxhash.Sum64String(string(id)), state: workerChart.Start(), info: info, free: info.Capacity, tasks: map[jobs.TaskID]*Task{}}
 	s.workers[id] = w
--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -208,6 +208,25 @@
 	return TaskID{PhaseID{core.JobID(parts[0]), n[0], n[1]}, n[2]}, true
 }
 
+// TaskIDError reports a text that is not a task's ID.
+type TaskIDError struct{ Text string }
+
+// Error implements error.
+func (e *TaskIDError) Error() string { return "not a task's ID: " + strconv.Quote(e.Text) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It returns a TaskIDError.
+func (t *TaskID) UnmarshalText(text []byte) error {
+	id, ok := ParseTaskID(string(text))
+	if !ok {
+		return &TaskIDError{string(text)}
+	}
+	*t = id
+	return nil
+}
+
 // State is a job's state as clients see it.
 type State string
 
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -234,7 +234,7 @@
 
 // handleRosterStored handles the write of a roster, nil if the write held none. If
 // the roster has changed since, rosterToStore keeps the newer one.
-func (o *Owner) handleRosterStored(roster []fleet.WorkerInfo, version uint64) {
+func (o *Owner) handleRosterStored(roster []fleet.RosterEntry, version uint64) {
 	if roster == nil {
 		return
 	}
--- a/io/owner/list_test.go
+++ b/io/owner/list_test.go
@@ -33,7 +33,7 @@
 
 func (*leftWorker) Load(context.Context) (*record.Snapshot, error) {
 	worker := fleet.WorkerInfo{VM: core.VM{Name: "w", Service: "s", Capacity: core.Resources{Cores: 1000}}, Incarnation: oldIncarnation}
-	return &record.Snapshot{Specs: []jobs.Spec{goodSpec}, Roster: []fleet.WorkerInfo{worker}}, nil
+	return &record.Snapshot{Specs: []jobs.Spec{goodSpec}, Roster: []fleet.RosterEntry{{WorkerInfo: worker}}}, nil
 }
 
 func (l *leftWorker) Workers(context.Context) (fleet.WorkerList, error) {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -136,7 +136,7 @@
 	changesInterval time.Duration
 	// rosterToStore is the roster for the next write, nil if the store holds
 	// rosterVersion.
-	rosterToStore []fleet.WorkerInfo
+	rosterToStore []fleet.RosterEntry
 	rosterVersion uint64
 	draining      bool
 	drained       chan struct{}
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -246,7 +246,7 @@
 	emptyFeedStore
 	mu      sync.Mutex
 	version uint64
-	rosters [][]fleet.WorkerInfo
+	rosters [][]fleet.RosterEntry
 	// rosterWriting is closed when the first write of a roster begins.
 	rosterWriting chan struct{}
 	once          sync.Once
--- a/io/record/format_test.go
+++ b/io/record/format_test.go
@@ -127,21 +127,21 @@
 	owner := elect.Record{
 		Holder: "sched-1", VM: "entry-1", Addr: netip.MustParseAddrPort("10.0.0.2:72"), Epoch: 22, WriteNumber: 23, Stamp: 24,
 	}
-	roster := []fleet.WorkerInfo{{
+	roster := []fleet.RosterEntry{{WorkerInfo: fleet.WorkerInfo{
 		VM: core.VM{
 			Name: "worker-1", Kind: "worker", Addr: netip.MustParseAddrPort("10.0.0.1:71"), Region: "hobart",
 			Zone: "hobart-a", Rack: "rack-3", Leaving: true, Capacity: core.Resources{Cores: 41, Memory: 42, Accel: 43},
 			Service: "svc-1", Slots: 44,
 		},
 		Labels: []string{"label-3"}, LeavesIn: 45, Incarnation: second(40), Renewals: 46,
-	}, {
+	}}, {WorkerInfo: fleet.WorkerInfo{
 		VM: core.VM{
 			Name: "worker-2", Kind: "worker", Addr: netip.MustParseAddrPort("10.0.0.1:71"), Region: "hobart",
 			Zone: "hobart-a", Rack: "rack-4", Leaving: true, Capacity: core.Resources{Cores: 51, Memory: 52, Accel: 53},
 			Service: "svc-2", Slots: 54,
 		},
 		Labels: []string{"label-4"}, LeavesIn: 55, Incarnation: second(50), Renewals: 56,
-	}}
+	}}}
 
 	old := newFakeTable()
 	old.version = 1
@@ -172,8 +172,8 @@
 	checkAllSet(t, loaded["full"].Phases[1])
 	checkAllSet(t, loaded["full"])
 	checkAllSet(t, snap.Progress["full"])
-	checkAllSet(t, snap.Roster[0])
-	checkAllSet(t, snap.Roster[1])
+	checkAllSet(t, snap.Roster[0].WorkerInfo) // that build had no other fields
+	checkAllSet(t, snap.Roster[1].WorkerInfo)
 	checkAllSet(t, obs.Record)
 
 	again := newFakeTable()
@@ -193,6 +193,30 @@
 	}
 }
 
+// silentRow is a row of the roster with the fields that later builds have added.
+const silentRow = `{"Pages":1,"Hosts":[{"Name":"worker-1","Kind":"","Addr":"10.0.0.1:71","Region":"","Zone":"","Rack":"","Leaving":false,` +
+	`"Room":{"Cores":0,"Memory":0,"Accel":0},"Service":"","Slots":0,"Labels":null,"Left":0,"Born":"2026-03-04T05:06:40Z","Beat":0,` +
+	`"Silent":true,"Runs":["full.1.2.3"]}]}`
+
+// TestSilentEntryFormat guards against a change of how the roster names the tasks that may
+// run on a silent worker.
+func TestSilentEntryFormat(t *testing.T) {
+	is := is.New(t)
+	stored := newFakeTable()
+	k := table.Key{Table: "fleet", Part: "fleet", Name: "roster/0000"}
+	stored.rows[k] = table.Row{Key: k, Val: []byte(silentRow), Version: 1}
+	snap, err := startStore(t, stored).Load(context.Background())
+	is.NoErr(err)
+	is.Equal(snap.Roster, []fleet.RosterEntry{{
+		WorkerInfo: fleet.WorkerInfo{VM: core.VM{Name: "worker-1", Addr: netip.MustParseAddrPort("10.0.0.1:71")}, Incarnation: second(40)},
+		Silent:     true, Runs: []jobs.TaskID{{PhaseID: jobs.PhaseID{Job: "full", Occurrence: 1, Phase: 2}, Index: 3}},
+	}})
+	again := newFakeTable()
+	_, err = startStore(t, again).Write(context.Background(), record.OwnerWrite{Record: elect.Record{Epoch: 1}, Roster: snap.Roster})
+	is.NoErr(err)
+	is.Equal(string(again.rows[k].Val), silentRow)
+}
+
 // TestTableMessageFormat guards against a renamed field that changes a call or
 // an outcome, so that VMs of different builds cannot make calls for each other.
 func TestTableMessageFormat(t *testing.T) {
--- a/io/record/roster.go
+++ b/io/record/roster.go
@@ -26,7 +26,7 @@
 	// Pages is the number of rows of the roster. Rows beyond it belong to an older,
 	// longer roster.
 	Pages   int
-	Workers []fleet.WorkerInfo `json:"Hosts"`
+	Workers []fleet.RosterEntry `json:"Hosts"`
 }
 
 // pager divides the roster of one owner into rows. A worker stays in its row, so that
@@ -38,14 +38,14 @@
 	pageOf map[core.WorkerID]int
 	// stored holds the rows as this owner has written them; a row that may hold
 	// something else is not in it.
-	stored map[int][]fleet.WorkerInfo
+	stored map[int][]fleet.RosterEntry
 	pages  int
 }
 
 // newPager returns a pager for the owner of an epoch. The workers of the rows that are
 // in the store stay in these.
-func newPager(epoch core.Epoch, rows [][]fleet.WorkerInfo) *pager {
-	p := &pager{epoch: epoch, pageOf: map[core.WorkerID]int{}, stored: map[int][]fleet.WorkerInfo{}, pages: len(rows)}
+func newPager(epoch core.Epoch, rows [][]fleet.RosterEntry) *pager {
+	p := &pager{epoch: epoch, pageOf: map[core.WorkerID]int{}, stored: map[int][]fleet.RosterEntry{}, pages: len(rows)}
 	for i, row := range rows {
 		for _, w := range row {
 			p.pageOf[w.ID()] = i
@@ -55,10 +55,10 @@
 }
 
 // divide returns the rows that must be written to store a roster.
-func (p *pager) divide(roster []fleet.WorkerInfo) map[int][]fleet.WorkerInfo {
-	rows := make([][]fleet.WorkerInfo, max(p.pages, 1))
+func (p *pager) divide(roster []fleet.RosterEntry) map[int][]fleet.RosterEntry {
+	rows := make([][]fleet.RosterEntry, max(p.pages, 1))
 	listed := make(core.Set[core.WorkerID], len(roster))
-	var added []fleet.WorkerInfo
+	var added []fleet.RosterEntry
 	for _, w := range roster {
 		listed.Add(w.ID())
 		if i, ok := p.pageOf[w.ID()]; ok {
@@ -83,7 +83,7 @@
 			delete(p.pageOf, id)
 		}
 	}
-	changed := map[int][]fleet.WorkerInfo{}
+	changed := map[int][]fleet.RosterEntry{}
 	for i, row := range rows {
 		// The first row holds the number of rows.
 		grown := i == 0 && len(rows) != p.pages
@@ -97,12 +97,12 @@
 }
 
 // sameEntry reports whether two entries of the roster tell a later owner the same.
-func sameEntry(a, b fleet.WorkerInfo) bool {
-	return a.ID() == b.ID() && a.Addr == b.Addr && a.Incarnation.Equal(b.Incarnation)
+func sameEntry(a, b fleet.RosterEntry) bool {
+	return a.ID() == b.ID() && a.Addr == b.Addr && a.Incarnation.Equal(b.Incarnation) && a.Silent == b.Silent && slices.Equal(a.Runs, b.Runs)
 }
 
 // confirm records that rows have been stored.
-func (p *pager) confirm(rows map[int][]fleet.WorkerInfo) {
+func (p *pager) confirm(rows map[int][]fleet.RosterEntry) {
 	for i, row := range rows {
 		p.stored[i] = row
 	}
@@ -110,8 +110,8 @@
 
 // roster reads the rows of the roster. Their range ends at "0", the character after the
 // "/" in their names.
-func (s *Store) roster(ctx context.Context) ([][]fleet.WorkerInfo, error) {
-	var rows [][]fleet.WorkerInfo
+func (s *Store) roster(ctx context.Context) ([][]fleet.RosterEntry, error) {
+	var rows [][]fleet.RosterEntry
 	var failed error
 	pages := 0
 	_, err := s.scan(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"}, func(row table.Row) {
--- a/io/record/roster_test.go
+++ b/io/record/roster_test.go
@@ -25,9 +25,9 @@
 	s := startStore(t, newFakeTable())
 	version := uint64(0)
 	for _, count := range []int{700, 350, 3, 0} {
-		workers := []fleet.WorkerInfo{}
+		workers := []fleet.RosterEntry{}
 		for i := range count {
-			workers = append(workers, fleet.WorkerInfo{VM: core.VM{Name: fmt.Sprintf("i-%010d", i), Zone: "some-data-centre-a", Region: "some-region", Service: "a-service"}, Labels: []string{"a", "r1-22"}})
+			workers = append(workers, fleet.RosterEntry{WorkerInfo: fleet.WorkerInfo{VM: core.VM{Name: fmt.Sprintf("i-%010d", i), Zone: "some-data-centre-a", Region: "some-region", Service: "a-service"}, Labels: []string{"a", "r1-22"}}})
 		}
 		done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x"}, Version: version, Roster: workers})
 		is.NoErr(err)
@@ -39,13 +39,13 @@
 }
 
 // rosterOf returns a roster of workers with the given numbers.
-func rosterOf(numbers ...int) []fleet.WorkerInfo {
-	workers := []fleet.WorkerInfo{}
+func rosterOf(numbers ...int) []fleet.RosterEntry {
+	workers := []fleet.RosterEntry{}
 	for _, i := range numbers {
-		workers = append(workers, fleet.WorkerInfo{
+		workers = append(workers, fleet.RosterEntry{WorkerInfo: fleet.WorkerInfo{
 			VM:     core.VM{Name: fmt.Sprintf("i-%010d", i), Zone: "some-data-centre-a", Region: "some-region", Service: "a-service", Capacity: core.Resources{Cores: 64000, Memory: 262144}},
 			Labels: []string{"a", "r1-22"}, Incarnation: time.UnixMilli(1), Renewals: uint64(i),
-		})
+		}})
 	}
 	return workers
 }
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -84,7 +84,7 @@
 	// owner; nil before.
 	pager *pager
 	// loadedRoster holds the rows of the roster that Load has read last.
-	loadedRoster [][]fleet.WorkerInfo
+	loadedRoster [][]fleet.RosterEntry
 	// closed is set when Run ends; enqueue then refuses all jobs.
 	closed bool
 }
@@ -210,7 +210,7 @@
 	Specs     []jobs.Spec
 	Progress  map[core.JobID]jobs.Progress
 	Cancelled []core.JobID
-	Roster    []fleet.WorkerInfo
+	Roster    []fleet.RosterEntry
 	// Version is the version from which Changes continues.
 	Version uint64
 	// RowErrors holds one error for each row that could not be decoded.
--- a/io/record/store_test.go
+++ b/io/record/store_test.go
@@ -338,7 +338,7 @@
 	is.NoErr(s.Cancel(ctx, "b", time.Now())) // a second cancellation has no effect
 	is.Equal(execution(s.Cancel(ctx, "c", time.Now())), core.NotExecuted)
 
-	done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1}, Roster: []fleet.WorkerInfo{{VM: core.VM{Name: "w"}}}})
+	done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1}, Roster: []fleet.RosterEntry{{WorkerInfo: fleet.WorkerInfo{VM: core.VM{Name: "w"}}}}})
 	is.NoErr(err)
 	p := jobs.Progress{Job: "a", State: jobs.Completed}
 	p.SetDone(0)
--- a/io/record/write.go
+++ b/io/record/write.go
@@ -31,7 +31,7 @@
 	// Deletes are the jobs whose progress rows are deleted.
 	Deletes []core.JobID
 	// Roster is written if it is not nil.
-	Roster []fleet.WorkerInfo
+	Roster []fleet.RosterEntry
 }
 
 // Write stores a write of an owner on the condition that the ownership record has not
@@ -72,7 +72,7 @@
 
 // divideRoster returns the rows to write for the roster of a write, none if it holds no
 // roster. Only one write of an owner is in flight at a time.
-func (s *Store) divideRoster(w OwnerWrite) (*pager, map[int][]fleet.WorkerInfo) {
+func (s *Store) divideRoster(w OwnerWrite) (*pager, map[int][]fleet.RosterEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w.Roster == nil {
