An entry that moves a worker without a new start is not usable

What could be seen: another writer's entry under a worker's ID, with another worker's address, redirected the owner's calls there; the refusal (421) ended the runs of the living worker, which were started again.

Cause: the address of an entry replaced the known one, whatever its start said.

Change: an entry with another address and the same start, or none, is unusable: what is known of the worker holds on, and nothing is placed on it. Not covered: an entry that also names a later start of its own.

Test: TestEntryWithOtherAddress, which fails without the change.

--- a/core/fleet/entry_test.go
+++ b/core/fleet/entry_test.go
@@ -85,3 +85,27 @@
 	f.workers[1].Incarnation = f.now
 	is.True(called().Has(f.workers[1].ID()))
 }
+
+// TestEntryWithOtherAddress guards against an odd entry that sends an owner's calls for a
+// living worker to another one, whose refusal would then count as the end of its runs.
+func TestEntryWithOtherAddress(t *testing.T) {
+	for name, incarnation := range map[string]time.Time{"same incarnation": startTime.Add(-time.Hour), "none": {}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, 2)
+			f.registerWorkers()
+			f.Accept(f.now, newJob("j", 1, false))
+			s := f.nextOrders(fleet.OrderStart)[0]
+			f.confirmStarts([]fleet.Order{s})
+			odd := s.Info
+			odd.Addr, odd.Incarnation = newWorkerInfo(9).Addr, incarnation
+			f.SetWorkers(f.now, fleet.WorkerList{Workers: []fleet.WorkerInfo{odd}})
+			f.IncarnationEnded(f.now, odd)
+			is.Equal(len(f.roster()), 2)
+			f.heartbeat(s.Info, []fleet.ActiveRun{{Task: s.Task, Run: s.Run}}, nil)
+			for _, o := range f.nextOrders(fleet.OrderHeartbeat) {
+				is.True(o.Worker != s.Worker || o.Info.Addr == s.Info.Addr)
+			}
+		})
+	}
+}
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -178,6 +178,10 @@
 		if w == nil {
 			w = s.addWorker(id, info)
 		}
+		if w.contradicts(info) {
+			w.entryUnusable, w.missingSince = true, time.Time{}
+			continue
+		}
 		w.updateInfo(info)
 	}
 	for _, w := range slices.Clone(s.sortedWorkers) {
@@ -200,6 +204,13 @@
 	return w
 }
 
+// contradicts reports whether an entry names another address for the incarnation that is
+// known, or for none: a worker changes its address only by a new start.
+func (w *Worker) contradicts(info WorkerInfo) bool {
+	known := w.info.Incarnation
+	return info.Addr != w.info.Addr && !known.IsZero() && (info.Incarnation.IsZero() || info.Incarnation.Equal(known))
+}
+
 // updateInfo updates the worker from its entry in the platform's list. An entry that
 // differs from the one in the list before has been renewed since that was requested. An
 // owner's first list shows no renewal: the stored roster may hold any older entry.
