A damaged row of the roster delays a new owner, and no longer stops every one

What could be seen: with one row of the roster that cannot be decoded, of another build for example, no process could load the state: nothing was scheduled any more.

Cause: Load failed on such a row, and an owner retries it for ever.

Change: the other rows count, the row is logged, and as workers may be missing from what was read, tasks that an earlier owner may have started wait for the longest lease. The next write replaces the row.

Tests: TestDamagedRoster fails before ("cannot be decoded" from Load); TestUnknownRoster covers the wait.

--- a/core/fleet/roster_test.go
+++ b/core/fleet/roster_test.go
@@ -127,3 +127,20 @@
 		})
 	}
 }
+
+// TestUnknownRoster checks an owner that cannot read all of the stored roster, which an
+// earlier build may have written: it waits for the longest lease, and not for ever.
+func TestUnknownRoster(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 1)
+	f.Scheduler = fleet.New(f.now, 2, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, newPolicy(core.Resources{}), fleet.WithUnknownRoster())
+	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
+	started := false
+	for ; f.now.Sub(startTime) < maxEarlierLease+500*time.Millisecond; f.advance(100 * time.Millisecond) {
+		if len(f.starts(f.workers, f.workers)) > 0 {
+			started = true
+			is.True(f.now.Sub(startTime) >= 6*time.Second*100/98)
+		}
+	}
+	is.True(started)
+}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -96,6 +96,9 @@
 	// earlierLeasesEnd is when every lease that an earlier owner has granted has
 	// certainly expired.
 	earlierLeasesEnd time.Time
+	// rosterUnknown is set if earlier owners may have used workers that the restored
+	// roster lacks.
+	rosterUnknown bool
 	// allReported is set once every worker that an earlier owner may have used has
 	// reported.
 	allReported bool
@@ -179,6 +182,10 @@
 	return func(s *Scheduler) { s.allReported, s.recoverBefore = false, s.epoch+1 }
 }
 
+// WithUnknownRoster marks an owner that does not know all workers that earlier ones may
+// have used.
+func WithUnknownRoster() Option { return func(s *Scheduler) { s.rosterUnknown = true } }
+
 // New returns a scheduler without jobs and workers for a new owner's epoch.
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Scheduler {
 	s := &Scheduler{
@@ -472,6 +479,9 @@
 	if s.allReported && len(s.unresolved) == 0 || slices.ContainsFunc(s.sortedWorkers, (*Worker).mayRunAny) {
 		return
 	}
+	if s.rosterUnknown && !s.now.After(s.earlierLeasesEnd) {
+		return
+	}
 	s.allReported = true
 	held := core.NewSet[jobs.TaskID]()
 	for _, w := range s.sortedWorkers {
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -307,7 +308,7 @@
 	if current, _ := o.election.Record(); !o.election.IsHolder() || current.Epoch != epoch {
 		return
 	}
-	for _, e := range snapshot.RowErrors {
+	for _, e := range slices.Concat(snapshot.RowErrors, snapshot.RosterErrors) {
 		o.log.WithError(e).Error("skipping a row that cannot be decoded")
 	}
 	if o.policy == nil {
@@ -322,6 +323,9 @@
 			// An earlier scheduler of this process has made decisions in this epoch.
 			opts = append(opts, fleet.WithLostState())
 		}
+		if len(snapshot.RosterErrors) > 0 {
+			opts = append(opts, fleet.WithUnknownRoster())
+		}
 		o.scheduler, o.lastOwnedEpoch = fleet.New(now, epoch, o.limits, o.policy, opts...), epoch
 		o.scheduler.RestoreRoster(snapshot.Roster)
 		o.rosterToStore, o.rosterVersion = nil, 0
--- a/io/record/fuzz_test.go
+++ b/io/record/fuzz_test.go
@@ -28,7 +28,7 @@
 		}
 		snapshot, err := record.New(tbl).Load(context.Background())
 		if err != nil {
-			return // a roster that cannot be decoded
+			return
 		}
 		now := time.Now()
 		s := fleet.New(now, 2, fleet.Limits{Lease: 6 * time.Second, RemoteFactor: 1}, policy.New(1, []policy.Queue{{Name: "q", Service: "s", Attempts: 3}}, nil, nil, 0))
--- a/io/record/roster.go
+++ b/io/record/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 
 	"chicoryturn/core"
@@ -109,16 +110,16 @@
 }
 
 // roster reads the rows of the roster. Their range ends at "0", the character after the
-// "/" in their names.
-func (s *Store) roster(ctx context.Context) ([][]fleet.RosterEntry, error) {
-	var rows [][]fleet.RosterEntry
-	var failed error
+// "/" in their names. A row that cannot be decoded is empty and adds to the errors in
+// damaged.
+func (s *Store) roster(ctx context.Context) (rows [][]fleet.RosterEntry, damaged []error, err error) {
 	pages := 0
-	_, err := s.scan(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"}, func(row table.Row) {
+	_, err = s.scan(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"}, func(row table.Row) {
 		var page rosterPage
 		if err := decode(row, &page); err != nil {
-			failed = err
-			return
+			damaged = append(damaged, err)
+			// If this is the first row, all rows count.
+			page = rosterPage{Pages: math.MaxInt}
 		}
 		if len(rows) == 0 {
 			pages = page.Pages
@@ -127,8 +128,5 @@
 			rows = append(rows, page.Workers)
 		}
 	})
-	if err != nil {
-		return nil, err
-	}
-	return rows, failed
+	return rows, damaged, err
 }
--- a/io/record/roster_test.go
+++ b/io/record/roster_test.go
@@ -135,3 +135,31 @@
 	is.NoErr(err)
 	is.Equal(len(snapshot.Roster), 4000)
 }
+
+// TestDamagedRoster guards against a row of the roster that cannot be decoded and keeps
+// every owner from loading the stored state for ever. The other rows are read, and the
+// next write replaces the row.
+func TestDamagedRoster(t *testing.T) {
+	for name, row := range map[string]string{"the first row": "roster/0000", "another row": "roster/0001"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			tbl := newFakeTable()
+			done, err := startStore(t, tbl).Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1}, Roster: rosterOf(numbersTo(150)...)})
+			is.NoErr(err)
+			k := table.Key{Table: "fleet", Part: "fleet", Name: row}
+			tbl.rows[k] = table.Row{Key: k, Val: []byte(`{"Pages":"three"}`), Version: tbl.rows[k].Version}
+			s := startStore(t, tbl)
+			snap, err := s.Load(ctx)
+			is.NoErr(err)
+			is.Equal(len(snap.RosterErrors), 1)
+			is.Equal(len(snap.Roster), 150-64)
+			_, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "y", Epoch: 2}, Version: done.Version, Roster: rosterOf(numbersTo(150)...)})
+			is.NoErr(err)
+			snap, err = startStore(t, tbl).Load(ctx)
+			is.NoErr(err)
+			is.Equal(len(snap.RosterErrors), 0)
+			is.Equal(len(snap.Roster), 150)
+		})
+	}
+}
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -211,6 +211,9 @@
 	Progress  map[core.JobID]jobs.Progress
 	Cancelled []core.JobID
 	Roster    []fleet.RosterEntry
+	// RosterErrors holds one error for each row of the roster that could not be decoded.
+	// Earlier owners may have used workers that Roster lacks.
+	RosterErrors []error
 	// Version is the version from which Changes continues.
 	Version uint64
 	// RowErrors holds one error for each row that could not be decoded.
@@ -233,8 +236,8 @@
 		})
 	}
 	g.Go(func() error {
-		rows, err := s.roster(sub)
-		out.Roster = slices.Concat(rows...)
+		rows, damaged, err := s.roster(sub)
+		out.Roster, out.RosterErrors = slices.Concat(rows...), damaged
 		s.mu.Lock()
 		s.loadedRoster = rows
 		s.mu.Unlock()
