--- a/core/fleet/entry_test.go
+++ b/core/fleet/entry_test.go
@@ -24,10 +24,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(1, 2)
-			f.registerWorkers()
-			f.Accept(f.now, newJob("j", 1, false))
-			s := f.nextOrders(fleet.OrderStart)[0]
-			f.confirmStarts([]fleet.Order{s})
+			s := f.startTask()
 			odd, other := s.Info, f.workers[0]
 			if other.ID() == odd.ID() {
 				other = f.workers[1]
@@ -93,10 +90,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(1, 2)
-			f.registerWorkers()
-			f.Accept(f.now, newJob("j", 1, false))
-			s := f.nextOrders(fleet.OrderStart)[0]
-			f.confirmStarts([]fleet.Order{s})
+			s := f.startTask()
 			odd := s.Info
 			odd.Addr, odd.Incarnation = newWorkerInfo(9).Addr, incarnation
 			f.SetWorkers(f.now, fleet.WorkerList{Workers: []fleet.WorkerInfo{odd}})
--- a/core/fleet/membership_test.go
+++ b/core/fleet/membership_test.go
@@ -178,11 +178,7 @@
 			for range calmTicks {
 				m.step()
 			}
-			if m.completedJobs() != jobCount {
-				m.logState()
-			}
-			is.Equal(m.completedJobs(), jobCount)
-			is.Equal(m.currentOwner().scheduler.RefusedEvents(), nil)
+			m.checkCompleted(is, jobCount)
 		})
 	}
 }
@@ -196,3 +192,19 @@
 	}
 	return spec
 }
+
+// randomJob returns a random job of one or two phases.
+func (h *harness) randomJob(i int) jobs.Spec {
+	spec := jobs.Spec{ID: core.JobID(fmt.Sprintf("j%d", i)), Payload: "x"}
+	for p := range 1 + h.rng.IntN(2) {
+		phase := jobs.Phase{
+			Count: 1 + h.rng.IntN(4), Need: core.Resources{Cores: 500 + h.rng.Int64N(1500), Memory: 100},
+			Estimate: time.Duration(200+h.rng.IntN(2500)) * time.Millisecond, Gang: h.rng.IntN(3) == 0,
+		}
+		if p > 0 {
+			phase.After = []int{p - 1}
+		}
+		spec.Phases = append(spec.Phases, phase)
+	}
+	return spec
+}
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -34,15 +34,6 @@
 		[]policy.Team{{Name: "t", Weight: 1000, Limit: limit}}, []policy.Service{{Name: "s"}}, 0)
 }
 
-// newPolicyOf returns a policy that names services.
-func newPolicyOf(names ...core.Service) *policy.Policy {
-	var services []policy.Service
-	for _, n := range names {
-		services = append(services, policy.Service{Name: n})
-	}
-	return policy.New(2, nil, nil, services, 0)
-}
-
 func newWorkerInfo(i int) fleet.WorkerInfo {
 	return fleet.WorkerInfo{VM: core.VM{
 		Name: fmt.Sprintf("w%d", i), Kind: "worker", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Capacity: core.Resources{Cores: 4000, Memory: 4000}, Service: "s", Rack: "r",
@@ -403,19 +394,14 @@
 	return n
 }
 
-func (h *harness) randomJob(i int) jobs.Spec {
-	spec := jobs.Spec{ID: core.JobID(fmt.Sprintf("j%d", i)), Payload: "x"}
-	for p := range 1 + h.rng.IntN(2) {
-		phase := jobs.Phase{
-			Count: 1 + h.rng.IntN(4), Need: core.Resources{Cores: 500 + h.rng.Int64N(1500), Memory: 100},
-			Estimate: time.Duration(200+h.rng.IntN(2500)) * time.Millisecond, Gang: h.rng.IntN(3) == 0,
-		}
-		if p > 0 {
-			phase.After = []int{p - 1}
-		}
-		spec.Phases = append(spec.Phases, phase)
+// checkCompleted checks that all jobs have completed and that no chart has refused an event.
+func (h *harness) checkCompleted(is *is.I, count int) {
+	is.Helper()
+	if h.completedJobs() != count {
+		h.logState()
 	}
-	return spec
+	is.Equal(h.completedJobs(), count)
+	is.Equal(h.currentOwner().scheduler.RefusedEvents(), nil)
 }
 
 // TestNoFaults checks that all jobs complete without faults.
@@ -428,8 +414,7 @@
 	for range 3000 {
 		h.tick()
 	}
-	is.Equal(h.completedJobs(), 20)
-	is.Equal(h.currentOwner().scheduler.RefusedEvents(), nil)
+	h.checkCompleted(is, 20)
 }
 
 // TestRandomFaults simulates lost and late orders, crashes, unreachable workers, and
@@ -452,11 +437,7 @@
 			for range calmTicks {
 				h.tick()
 			}
-			if h.completedJobs() != jobCount {
-				h.logState()
-			}
-			is.Equal(h.completedJobs(), jobCount)
-			is.Equal(h.currentOwner().scheduler.RefusedEvents(), nil)
+			h.checkCompleted(is, jobCount)
 		})
 	}
 }
--- a/core/fleet/proof_test.go
+++ b/core/fleet/proof_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/matryer/is"
 
+	"chicoryturn/core"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
 )
 
 // maxEarlierLease is the time after a change of owner by which the longest lease of an
@@ -16,6 +18,15 @@
 // owner may not know of the change.
 const maxEarlierLease = 6*time.Second*100/98 + time.Second
 
+// newPolicyOf returns a policy that names services.
+func newPolicyOf(names ...core.Service) *policy.Policy {
+	var services []policy.Service
+	for _, n := range names {
+		services = append(services, policy.Service{Name: n})
+	}
+	return policy.New(2, nil, nil, services, 0)
+}
+
 // takeOver replaces the fixture's scheduler by that of a new owner that has loaded the
 // stored roster and one job, which an earlier owner may have started.
 func (f *fixture) takeOver(roster []fleet.WorkerInfo) {
@@ -125,10 +136,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(1, 2)
-			f.registerWorkers()
-			f.Accept(f.now, newJob("j", 1, false))
-			s := f.nextOrders(fleet.OrderStart)[0]
-			f.confirmStarts([]fleet.Order{s})
+			s := f.startTask()
 			sent := s.Info
 			change(&sent)
 			f.IncarnationEnded(f.now, sent)
@@ -206,10 +214,7 @@
 func TestDrainingWorkerBehindOutage(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 2)
-	f.registerWorkers()
-	f.Accept(f.now, newJob("j", 1, false))
-	s := f.nextOrders(fleet.OrderStart)[0]
-	f.confirmStarts([]fleet.Order{s})
+	s := f.startTask()
 	listed := append([]fleet.WorkerInfo{}, f.workers...)
 	i := slices.IndexFunc(listed, func(w fleet.WorkerInfo) bool { return w.ID() == s.Worker })
 	listed[i].Leaving, listed[i].Renewals = true, 7
--- a/core/fleet/roster_test.go
+++ b/core/fleet/roster_test.go
@@ -33,10 +33,7 @@
 func TestSilentWorkerHoldsItsTasksOnly(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 2)
-	f.registerWorkers()
-	f.Accept(f.now, newJob("j", 1, false))
-	s := f.nextOrders(fleet.OrderStart)[0]
-	f.confirmStarts([]fleet.Order{s})
+	s := f.startTask()
 	f.silence(s.Worker, 800*time.Millisecond)
 	for _, e := range f.roster() {
 		is.True(!e.Silent)
@@ -73,10 +70,7 @@
 func TestAccountNeedsRecordedEnds(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 2)
-	f.registerWorkers()
-	f.Accept(f.now, newJob("j", 1, false))
-	s := f.nextOrders(fleet.OrderStart)[0]
-	f.confirmStarts([]fleet.Order{s})
+	s := f.startTask()
 	f.advance(100 * time.Millisecond)
 	f.heartbeat(s.Info, nil, doneEnd(1, s))
 	is.Equal(len(f.Batch()), 1) // in flight
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -277,36 +277,6 @@
 // is later than this owner's.
 func (s *Scheduler) LaterEpoch() core.Epoch { return s.laterEpoch }
 
-// recoverJob recovers the runs of a job that an earlier owner may have started.
-// Unless the job's FirstEpoch excludes that, any of its tasks may be running
-// until every worker has reported and the ends that it lists have been handled.
-func (s *Scheduler) recoverJob(j *Job) {
-	if j.ended() || j.Spec.FirstEpoch >= s.recoverBefore {
-		return
-	}
-	mayHaveRun := !s.allReported || s.hasUnreportedWorkers()
-	for _, w := range s.sortedWorkers {
-		for id := range w.unknownRuns {
-			mayHaveRun = mayHaveRun || id.Job == j.Spec.ID
-		}
-	}
-	if !mayHaveRun {
-		return
-	}
-	for _, t := range j.tasks {
-		t.fire(taskRecover)
-	}
-	for _, w := range s.sortedWorkers {
-		for id, run := range w.unknownRuns {
-			if t := s.task(id); id.Job == j.Spec.ID && t != nil && t.state == taskHeld {
-				t.eventWorker, t.run = w, run
-				t.fire(taskFound)
-				delete(w.unknownRuns, id)
-			}
-		}
-	}
-}
-
 // UnknownJobSeen reports whether a worker has named a job that the scheduler
 // does not know, and clears the mark.
 func (s *Scheduler) UnknownJobSeen() bool {
@@ -467,71 +437,3 @@
 	}
 	return p.tasks[id.Index]
 }
-
-// AllReported reports whether every worker that an earlier owner may have used
-// has reported.
-func (s *Scheduler) AllReported() bool { return s.allReported }
-
-// resolveRecovered lets the unresolved tasks start once every worker that may run them
-// has reported or its runs have certainly ended: a run that no worker listed does not
-// exist. A worker may run any task unless its entry in the roster names its runs.
-func (s *Scheduler) resolveRecovered() {
-	if s.allReported && len(s.unresolved) == 0 || slices.ContainsFunc(s.sortedWorkers, (*Worker).mayRunAny) {
-		return
-	}
-	if s.rosterUnknown && !s.now.After(s.earlierLeasesEnd) {
-		return
-	}
-	s.allReported = true
-	held := core.NewSet[jobs.TaskID]()
-	for _, w := range s.sortedWorkers {
-		if w.unreported() {
-			for _, id := range w.accountedRuns {
-				held.Add(id)
-			}
-		}
-	}
-	phases := map[*phase]struct{}{}
-	for t := range s.unresolved {
-		if held.Has(t.ID()) {
-			continue
-		}
-		s.needsPlacement = true
-		t.fire(taskClear)
-		phases[t.phase] = struct{}{}
-	}
-	for p := range phases {
-		// A gang makes no progress without all its members.
-		if p.spec.Gang && p.tasksPlaced > 0 && !p.gangDone {
-			p.stopGang()
-		}
-	}
-}
-
-// hasUnreportedWorkers reports whether any worker is unreported.
-func (s *Scheduler) hasUnreportedWorkers() bool {
-	return slices.ContainsFunc(s.sortedWorkers, (*Worker).unreported)
-}
-
-// unreported reports whether the worker may run, or may have ended, tasks
-// without the scheduler's knowledge.
-func (w *Worker) unreported() bool {
-	return w.inherited && w.state == workerFresh || !w.blockedSince.IsZero()
-}
-
-// mayRunAny reports whether any task may run on the worker without the scheduler's
-// knowledge.
-func (w *Worker) mayRunAny() bool {
-	return w.unreported() && (!w.accounted || !w.blockedSince.IsZero())
-}
-
-// sumUnreportedCapacity returns the total capacity of the unreported workers.
-func (s *Scheduler) sumUnreportedCapacity() core.Resources {
-	var sum core.Resources
-	for _, w := range s.sortedWorkers {
-		if w.unreported() {
-			sum = sum.Add(w.info.Capacity)
-		}
-	}
-	return sum
-}
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// startTask registers the workers, accepts a job of one task and returns its start, which
+// the worker has confirmed.
+func (f *fixture) startTask() fleet.Order {
+	f.registerWorkers()
+	f.Accept(f.now, newJob("j", 1, false))
+	starts := f.nextOrders(fleet.OrderStart)
+	f.confirmStarts(starts)
+	return starts[0]
+}
+
 // heartbeat answers a heartbeat for a worker with its active and ended runs.
 func (f *fixture) heartbeat(w fleet.WorkerInfo, active []fleet.ActiveRun, ended []fleet.EndedRun) {
 	f.HeartbeatAnswered(f.now, w.ID(), f.now, fleet.RunLists{Clock: f.now.Sub(startTime), Incarnation: w.Incarnation, Active: active, Ended: ended})
