--- a/core/fleet/membership_test.go
+++ b/core/fleet/membership_test.go
@@ -85,9 +85,9 @@
 	m.tick()
 }
 
-// span returns a random time of up to max.
-func (m *membership) span(max time.Duration) time.Duration {
-	return time.Duration(m.rng.Int64N(int64(max)))
+// span returns a random time below limit.
+func (m *membership) span(limit time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(limit)))
 }
 
 func (m *membership) injectMembershipFault() {
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -10,8 +10,8 @@
 // This file recovers the runs that earlier owners have started.
 
 // recoverJob recovers the runs of a job that an earlier owner may have started.
-// Unless the job's FirstEpoch excludes that, any of its tasks may be running
-// until every worker has reported and the ends that it lists have been handled.
+// Unless the job's FirstEpoch excludes that, any of its tasks may be running until
+// resolveRecovered finds that no worker can have it.
 func (s *Scheduler) recoverJob(j *Job) {
 	if j.ended() || j.Spec.FirstEpoch >= s.recoverBefore {
 		return
@@ -39,8 +39,8 @@
 	}
 }
 
-// AllReported reports whether every worker that an earlier owner may have used
-// has reported.
+// AllReported reports whether the runs of earlier owners are known, except on workers
+// whose roster entries name them.
 func (s *Scheduler) AllReported() bool { return s.allReported }
 
 // resolveRecovered lets the unresolved tasks start once every worker that may run them
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -99,8 +99,8 @@
 	// rosterUnknown is set if earlier owners may have used workers that the restored
 	// roster lacks.
 	rosterUnknown bool
-	// allReported is set once every worker that an earlier owner may have used has
-	// reported.
+	// allReported is set once the runs of earlier owners are known, except on workers
+	// whose roster entries name them.
 	allReported bool
 	// The tasks of a job whose FirstEpoch is lower than recoverBefore may have
 	// been started by an earlier owner, or by this one before it lost its state.
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -96,8 +96,8 @@
 	// owner reads. Rosters older than rosterSince do not count.
 	inRoster    bool
 	rosterSince uint64
-	// accounted is set while the roster names the tasks that may run on the worker,
-	// which are accountedRuns, because it does not answer.
+	// accounted is set while the worker's roster entry names the tasks that may run
+	// there, accountedRuns, because it does not answer. Nothing is placed on it then.
 	accounted     bool
 	accountedRuns []jobs.TaskID
 	// silentSince is when the worker missed the first heartbeat since its last answer.
