Late occurrences of a repeated job never become due in the past

Cause: the time from the first occurrence to a late one was a product that overflows from 292 years on (100,000 occurrences a year apart are accepted), and so lay in the past: these occurrences would have started at once, before the first. Change: the product is bounded by the longest duration.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -149,12 +150,17 @@
 // Occurrences returns how often the phases run, which is at least once.
 func (s *Spec) Occurrences() int { return max(s.Repeat, 1) }
 
-// Due returns when an occurrence may start; zero means at once.
+// Due returns when an occurrence may start; zero means at once. It never decreases from
+// one occurrence to the next.
 func (s *Spec) Due(occurrence int) time.Time {
 	if s.Repeat == 0 {
 		return time.Time{}
 	}
-	return s.First.Add(time.Duration(occurrence) * s.Every)
+	delay := time.Duration(math.MaxInt64)
+	if occurrence == 0 || s.Every <= delay/time.Duration(occurrence) {
+		delay = time.Duration(occurrence) * s.Every
+	}
+	return s.First.Add(delay)
 }
 
 // CriticalPath returns the estimated run time of the longest chain of dependent
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -43,3 +43,15 @@
 		})
 	}
 }
+
+// TestDueNeverDecreases checks that the time of a late occurrence does not overflow into the
+// past, where it would start at once.
+func TestDueNeverDecreases(t *testing.T) {
+	is := is.New(t)
+	s := jobs.Spec{Repeat: 100_000, First: time.Unix(0, 0), Every: 365 * 24 * time.Hour}
+	last := s.Due(0)
+	for k := range s.Repeat {
+		is.True(!s.Due(k).Before(last))
+		last = s.Due(k)
+	}
+}
