--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/chart"
 )
 
@@ -73,6 +74,9 @@
 	// Stamp is the writer's estimate of the store's clock at the time of the
 	// write; 0 if the writer has no estimate.
 	Stamp time.Duration
+	// Held is what the accepted jobs take of the owner's memory; nil if the owner does
+	// not bound it. It is never changed in place.
+	Held *budget.Summary `json:",omitempty"`
 }
 
 // Observation is the result of one read of the ownership record.
@@ -252,6 +256,7 @@
 // version that the row must still have.
 func (e *Election) NextRecord(now time.Time) (Record, uint64) {
 	rec := e.self
+	rec.Held = e.record.Held
 	rec.Stamp = e.estimateStoreClock(now)
 	rec.Epoch, rec.WriteNumber = e.record.Epoch, e.record.WriteNumber+1
 	if !e.IsHolder() {
--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -99,6 +99,7 @@
 	for _, w := range named {
 		a.named.Add(w)
 	}
+	s.built.Charge(p.job.Spec.Team, adviceBytes*int64(len(a.named)-namedBefore))
 	if namedBefore == 0 {
 		s.learnAllowedShare(p.job.Spec.Queue, len(named), len(allowed))
 	}
@@ -158,14 +159,6 @@
 	}
 }
 
-func (s *Scheduler) phase(id jobs.PhaseID) *phase {
-	t := s.task(jobs.TaskID{PhaseID: id})
-	if t == nil {
-		return nil
-	}
-	return t.phase
-}
-
 // advisor returns the policy of the queue's placement advisor, if it has one.
 func (p *phase) advisor() core.Option[policy.Advisor] {
 	if q := p.job.scheduler.policy.Queues[p.job.Spec.Queue]; q != nil {
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -71,7 +71,7 @@
 		if !p.canRunOn(w) {
 			continue
 		}
-		candidate := adviceCandidate{w.id, p.slotsOn(w, need, w.free), (w.nameHash ^ p.jobHash) * hashMultiplier}
+		candidate := adviceCandidate{w.id, p.slotsOn(w, need, w.free), (w.nameHash ^ p.job.hash) * hashMultiplier}
 		t, allowed := p.advice.allowed[w.id]
 		switch {
 		case !p.advice.named.Has(w.id):
--- a/core/fleet/charts.go
+++ b/core/fleet/charts.go
@@ -23,7 +23,7 @@
 	workerChart *chart.Machine[*Worker]
 
 	taskRecover, taskClear, taskFound, taskPlace, taskAccepted, taskRefused, taskUnanswered chart.Event
-	taskStop, taskEndDone, taskEndFailed, taskCut, taskDrop, taskRestore                    chart.Event
+	taskStop, taskEndDone, taskEndFailed, taskCut, taskDrop                                 chart.Event
 
 	taskWaiting, taskHeld, taskStarting, taskDoubtful, taskRunning, taskStopping, taskLeaving, taskDone, taskDropped chart.State
 
@@ -48,7 +48,7 @@
 	for name, ev := range map[string]*chart.Event{
 		"recover": &taskRecover, "clear": &taskClear, "found": &taskFound, "place": &taskPlace,
 		"accepted": &taskAccepted, "refused": &taskRefused, "unanswered": &taskUnanswered, "stop": &taskStop,
-		"done": &taskEndDone, "failed": &taskEndFailed, "cut": &taskCut, "drop": &taskDrop, "restore": &taskRestore,
+		"done": &taskEndDone, "failed": &taskEndFailed, "cut": &taskCut, "drop": &taskDrop,
 	} {
 		*ev = taskChart.Event(name)
 	}
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -17,6 +17,7 @@
 	Settled bool
 	Counts  Counts
 	Used    map[core.Team]core.Resources
+	Memory  MemoryUse
 	Workers []WorkerDump
 	// Jobs holds the jobs that have not ended, the oldest first.
 	Jobs []JobDump
@@ -47,12 +48,16 @@
 
 // JobDump is the state of one job that has not ended.
 type JobDump struct {
-	Job    core.JobID
-	Team   core.Team
-	Queue  core.Queue
-	State  string
-	Age    string
-	Phases []PhaseDump
+	Job   core.JobID
+	Team  core.Team
+	Queue core.Queue
+	State string
+	Age   string
+	// Left counts the occurrences that are not complete, Built those of them that hold
+	// tasks in memory. Due is when the next one becomes due, empty if there is none.
+	Left, Built int
+	Due         string `json:",omitempty"`
+	Phases      []PhaseDump
 }
 
 // PhaseDump is the state of one open phase of a job.
@@ -71,7 +76,7 @@
 
 // Dump returns the scheduler's state.
 func (s *Scheduler) Dump() *Dump {
-	d := &Dump{Epoch: s.epoch, Settled: s.allReported, Counts: s.counts, Used: map[core.Team]core.Resources{}}
+	d := &Dump{Epoch: s.epoch, Settled: s.allReported, Counts: s.counts, Used: map[core.Team]core.Resources{}, Memory: s.MemoryUse()}
 	for t, r := range s.used {
 		d.Used[t] = r
 	}
@@ -97,8 +102,11 @@
 }
 
 func (j *Job) dump() JobDump {
-	out := JobDump{Job: j.Spec.ID, Team: j.Spec.Team, Queue: j.Spec.Queue, State: jobChart.Name(j.state), Age: j.scheduler.now.Sub(j.acceptedAt).Round(time.Millisecond).String()}
-	for _, p := range j.phases {
+	out := JobDump{Job: j.Spec.ID, Team: j.Spec.Team, Queue: j.Spec.Queue, State: jobChart.Name(j.state), Age: j.scheduler.now.Sub(j.acceptedAt).Round(time.Millisecond).String(), Left: j.occurrencesLeft, Built: len(j.occurrences)}
+	if j.next < j.Spec.Occurrences() && !j.nextDue.IsZero() {
+		out.Due = j.nextDue.UTC().Format(time.RFC3339)
+	}
+	for _, p := range j.builtPhases() {
 		if !p.isOpen || p.tasksLeft == 0 {
 			continue
 		}
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -107,7 +107,7 @@
 		if e.Number <= w.handledEnd {
 			continue
 		}
-		if s.jobs[e.Task.Job] == nil && w.mustAwaitJob() {
+		if s.jobs[e.Task.Job] == nil && w.mustAwaitJob(e.Task.Job) {
 			w.ackableSeq = s.changeSeq
 			return
 		}
@@ -118,7 +118,7 @@
 			w.releaseOrphan(w.orphans[i])
 			w.orphans = slices.Delete(w.orphans, i, i+1)
 		}
-		t := s.task(e.Task)
+		t := s.namedTask(e.Task)
 		d := Decision{Job: e.Task.Job, Event: "run ended " + e.Reason, Worker: w.id, Task: e.Task.String(), Run: e.Run}
 		if t != nil {
 			if t.worker == w && t.run == e.Run && !t.startedAt.IsZero() {
@@ -135,12 +135,12 @@
 // until that job has been read: acknowledging the end would lose it, and the
 // task would run again. It also requests that reading and records since when
 // the end waits.
-func (w *Worker) mustAwaitJob() bool {
+func (w *Worker) mustAwaitJob(id core.JobID) bool {
 	w.scheduler.unknownJobSeen = true
 	if w.blockedSince.IsZero() {
 		w.blockedSince = w.scheduler.now
 	}
-	return w.scheduler.now.Sub(w.blockedSince) < maxJobWait
+	return w.scheduler.nameParked(id) || w.scheduler.now.Sub(w.blockedSince) < maxJobWait
 }
 
 // countOutcome counts consecutive failed runs and sets the worker aside when
@@ -175,7 +175,7 @@
 	listed := make(map[runID]struct{}, len(l.Active))
 	for _, a := range l.Active {
 		listed[runID{a.Task, a.Run}] = struct{}{}
-		t := s.task(a.Task)
+		t := s.namedTask(a.Task)
 		switch {
 		case t == nil:
 			if w.unknownRuns == nil {
@@ -183,6 +183,7 @@
 			}
 			w.unknownRuns[a.Task] = a.Run
 			s.unknownJobSeen = true
+			s.nameParked(a.Task.Job)
 		case t.worker == w && t.run == a.Run:
 			t.fire(taskFound)
 			t.applyReport(a)
--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -5,7 +5,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"chicoryturn/core"
 	"chicoryturn/core/chart"
 	"chicoryturn/core/jobs"
 )
@@ -19,85 +18,58 @@
 	Spec      jobs.Spec
 	scheduler *Scheduler
 	state     chart.State
-	// phases holds the phases in order of occurrence and phase.
-	phases []*phase
-	// tasks holds the tasks in order of occurrence, phase and index.
-	tasks []*Task
-	// phasesLeft counts the phases that are not complete, tasksPlaced the tasks
-	// that hold room on a worker.
-	phasesLeft, tasksPlaced int
-	progress                jobs.Progress
+	// hash is a hash of the job's ID.
+	hash uint64
+	// occurrences holds the occurrences that have been built and are still needed: they
+	// may start, or a worker has named one of their tasks, and they are not complete or
+	// have tasks that hold room. The rest of the job is Spec and progress alone.
+	occurrences map[int]*occurrence
+	// next is the first occurrence that has not become due yet, at nextDue.
+	next    int
+	nextDue time.Time
+	// occurrencesLeft counts the occurrences that are not complete, tasksPlaced the
+	// tasks that hold room on a worker.
+	occurrencesLeft, tasksPlaced int
+	tasksPerOccurrence           int
+	progress                     jobs.Progress
 	// seq numbers the jobs in the order in which this scheduler has added them.
 	seq        uint64
 	acceptedAt time.Time
 	// A job that ends after deadline is late; one that ends after usefulUntil
 	// is worth nothing to its client. Both change with the policy.
 	deadline, usefulUntil time.Time
+	// waitLoggedAt is when it was last logged that an occurrence waits for memory.
+	waitLoggedAt time.Time
 	// exceedsShare is set if the team submitted the job in excess of its share
 	// of a full fleet.
 	exceedsShare bool
 }
 
-// phase is the state of one phase of one occurrence of a job.
-type phase struct {
-	id   jobs.PhaseID
-	job  *Job
-	spec *jobs.Phase
-	// jobHash is a hash of the job's ID.
-	jobHash uint64
-	// firstPosition is the position of the first task in the job's progress.
-	firstPosition int
-	tasks         []*Task
-	// tasksLeft counts the tasks that have not succeeded, tasksPlaced those
-	// that hold room on a worker, tasksWaiting those that wait for placement.
-	tasksLeft, tasksPlaced, tasksWaiting int
-	// isOpen is set once the earlier phases are complete and the occurrence is
-	// due.
-	isOpen   bool
-	openedAt time.Time
-	// timeToEnd is the expected time from the phase's start to the job's end,
-	// computed at timeToEndAt.
-	timeToEnd   time.Duration
-	timeToEndAt time.Time
-	// waitLoggedAt is when the reason for waiting was last logged.
-	waitLoggedAt time.Time
-	// gangDone is set once one member of a gang has succeeded, and with it the
-	// gang.
-	gangDone bool
-	// gangRun is the number of a gang's newest run.
-	gangRun uint64
-	advice  advice
-	// gangCheckpoint is the checkpoint that all tasks of a gang start from.
-	gangCheckpoint string
-}
-
+// add adds a job without building any of its occurrences.
 func (s *Scheduler) add(spec jobs.Spec) *Job {
 	s.lastJobSeq++
-	j := &Job{Spec: spec, scheduler: s, state: jobChart.Start(), seq: s.lastJobSeq, acceptedAt: spec.Accepted, progress: jobs.Progress{Job: spec.ID}}
+	j := &Job{
+		Spec: spec, scheduler: s, state: jobChart.Start(), seq: s.lastJobSeq, acceptedAt: spec.Accepted, progress: jobs.Progress{Job: spec.ID},
+		hash: xxhash.Sum64String(string(spec.ID)), tasksPerOccurrence: spec.TasksPerOccurrence(), occurrences: map[int]*occurrence{}, occurrencesLeft: spec.Occurrences(),
+	}
 	if j.acceptedAt.IsZero() || j.acceptedAt.After(s.now) {
 		j.acceptedAt = s.now
 	}
-	jobHash := xxhash.Sum64String(string(spec.ID))
-	for occurrence := range spec.Occurrences() {
-		for index := range j.Spec.Phases {
-			phaseSpec := &j.Spec.Phases[index]
-			p := &phase{id: jobs.PhaseID{Job: spec.ID, Occurrence: occurrence, Phase: index}, job: j, spec: phaseSpec, jobHash: jobHash, firstPosition: len(j.tasks), tasksLeft: phaseSpec.Count, tasksWaiting: phaseSpec.Count}
-			for i := range phaseSpec.Count {
-				t := &Task{phase: p, index: i, state: taskChart.Start()}
-				p.tasks = append(p.tasks, t)
-				j.tasks = append(j.tasks, t)
-			}
-			j.phases = append(j.phases, p)
-		}
-	}
-	j.phasesLeft = len(j.phases)
 	j.exceedsShare = s.exceedsShare(spec.Team, j.acceptedAt)
 	j.setDeadlines()
 	s.jobs[spec.ID] = j
+	s.accepted.Charge(spec.Team, spec.Bytes())
 	s.needsPlacement = true
 	return j
 }
 
+// shrink frees what only a job that has not ended needs, once its end is stored.
+func (j *Job) shrink() {
+	j.scheduler.accepted.Credit(j.Spec.Team, j.Spec.Bytes())
+	j.Spec.Payload = ""
+	j.progress = jobs.Progress{Job: j.Spec.ID, State: j.progress.State}
+}
+
 func (j *Job) fire(ev chart.Event) { j.scheduler.recordRefused(jobChart.Fire(&j.state, ev, j)) }
 
 // ended reports whether the job's end has been decided.
@@ -130,63 +102,34 @@
 	j.progress = recorded.Clone()
 	if recorded.State.Final() {
 		j.fire(jobRestore)
-		for _, t := range j.tasks {
-			t.fire(taskDrop)
-		}
 		return
 	}
-	for position, t := range j.tasks {
-		if recorded.IsDone(position) {
-			t.fire(taskRestore)
-			t.phase.tasksWaiting--
-			t.phase.tasksLeft--
-		}
-	}
-	for _, p := range j.phases {
-		if p.tasksLeft == 0 {
-			j.phasesLeft--
-			p.gangDone = p.spec.Gang
-		}
-	}
-}
-
-// openPhases opens the phases whose predecessors are complete. Phases of
-// occurrences that are not due yet are queued in futurePhases.
-func (j *Job) openPhases() {
-	if j.ended() {
-		return
-	}
-	n := len(j.Spec.Phases)
-	for i, p := range j.phases {
-		if p.isOpen || p.tasksLeft == 0 || !j.predecessorsDone(i/n, p.spec) {
-			continue
-		}
-		if due := j.Spec.Due(p.id.Occurrence); due.After(j.scheduler.now) {
-			j.scheduler.futurePhases[p] = struct{}{}
-			continue
-		}
-		p.open()
-	}
-}
-
-func (j *Job) predecessorsDone(occurrence int, spec *jobs.Phase) bool {
-	for _, a := range spec.After {
-		if j.phases[occurrence*len(j.Spec.Phases)+a].tasksLeft > 0 {
-			return false
+	for k := range j.Spec.Occurrences() {
+		if j.isOccurrenceDone(k) {
+			j.occurrencesLeft--
 		}
 	}
-	return true
 }
 
-// completeIfDone completes the job once all its phases are complete.
+// completeIfDone completes the job once all its occurrences are complete.
 func (j *Job) completeIfDone() {
-	if j.phasesLeft == 0 && !j.ended() {
+	if j.occurrencesLeft == 0 && !j.ended() {
 		j.progress.State = jobs.Completed
+		j.scheduler.removeDue(j)
 		j.fire(jobComplete)
 		j.markDirty()
 	}
 }
 
+// cancel ends the job because its cancellation is stored.
+func (j *Job) cancel() {
+	if !j.ended() {
+		j.progress.State = jobs.Cancelled
+		j.fire(jobCancel)
+		j.markDirty()
+	}
+}
+
 // fail ends the job because a task has failed too often.
 func (j *Job) fail() {
 	if !j.ended() {
@@ -198,13 +141,12 @@
 
 // dropTasks drops all tasks of a job that has ended.
 func (j *Job) dropTasks() {
-	for _, t := range j.tasks {
-		t.fire(taskDrop)
-	}
-	for _, p := range j.phases {
-		delete(j.scheduler.openPhases, p)
-		delete(j.scheduler.futurePhases, p)
-		p.advice = advice{}
+	j.scheduler.removeDue(j)
+	for _, o := range j.sortedOccurrences() {
+		for _, p := range o.phases {
+			p.drop()
+		}
+		o.discardIfUnneeded()
 	}
 }
 
@@ -235,52 +177,3 @@
 	allowed := time.Duration(q.Slowdown*float64(j.Spec.CriticalPath(adviceTime))) + q.Latency
 	j.deadline, j.usefulUntil = j.acceptedAt.Add(allowed), j.acceptedAt.Add(usefulFactor*allowed)
 }
-
-func (p *phase) open() {
-	p.isOpen, p.openedAt = true, p.job.scheduler.now
-	delete(p.job.scheduler.futurePhases, p)
-	p.job.scheduler.openPhases[p] = struct{}{}
-	p.job.scheduler.needsPlacement = true
-}
-
-// complete handles the end of the last task of the phase.
-func (p *phase) complete() {
-	j := p.job
-	delete(j.scheduler.openPhases, p)
-	// The advice is the largest part of a job's memory.
-	p.advice = advice{}
-	j.phasesLeft--
-	j.openPhases()
-	j.completeIfDone()
-}
-
-// need returns what one task takes of a worker's room.
-func (p *phase) need() core.Resources {
-	n := p.spec.Need
-	if p.spec.Filler {
-		// Filler tasks take only processor time that others leave unused.
-		n.Cores = 0
-	}
-	return n
-}
-
-// maxAttempts returns how many failed runs of a task fail the job.
-func (p *phase) maxAttempts() int {
-	if q := p.job.scheduler.policy.Queues[p.job.Spec.Queue]; q != nil {
-		return max(q.Attempts, 1)
-	}
-	return 1
-}
-
-// nextRun returns the number of the run after last of a task or gang.
-func (p *phase) nextRun(last uint64) uint64 {
-	return max(last+1, uint64(max(p.job.scheduler.epoch, 1)-1)<<runNumberBits+1)
-}
-
-// stopGang stops the remaining members of a gang's run after one has ended. The
-// gang starts again once no member holds room.
-func (p *phase) stopGang() {
-	for _, t := range p.tasks {
-		t.fire(taskStop)
-	}
-}
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -43,6 +43,8 @@
 // simOwner is one owner with its orders and its write in flight.
 type simOwner struct {
 	scheduler *fleet.Scheduler
+	// skew is how far the owner's clock is ahead.
+	skew time.Duration
 	// stopped owners make no further decisions, but their orders in flight may still
 	// arrive.
 	stopped  bool
@@ -96,6 +98,8 @@
 	// list returns the list of workers that an owner reads, or false if it cannot be
 	// read.
 	list func() (fleet.WorkerList, bool)
+	// maxSkew bounds how far the clock of an owner is ahead or behind.
+	maxSkew time.Duration
 	// lossRate is the share of orders whose answer is lost, delayRate the share of
 	// those orders that are also executed seconds late.
 	lossRate, delayRate float64
@@ -147,18 +151,25 @@
 // addOwner lets a new owner take over from the stored state. Earlier owners go on
 // without knowing that they have been replaced, unless they are stopped.
 func (h *harness) addOwner() {
-	o := &simOwner{scheduler: fleet.New(h.now, core.Epoch(len(h.owners)+1), fleet.Limits{Lease: leaseDuration, ListTimeout: 4500 * time.Millisecond, RemoteFactor: 1}, h.policy)}
+	o := &simOwner{}
+	if h.maxSkew > 0 {
+		o.skew = time.Duration(h.rng.Int64N(2*int64(h.maxSkew))) - h.maxSkew
+	}
+	o.scheduler = fleet.New(h.nowOf(o), core.Epoch(len(h.owners)+1), fleet.Limits{Lease: leaseDuration, ListTimeout: 4500 * time.Millisecond, RemoteFactor: 1}, h.policy)
 	o.scheduler.RestoreRoster(h.storedRoster)
-	o.scheduler.Load(h.now, slices.Clone(h.storedSpecs), maps.Clone(h.storedProgress))
+	o.scheduler.Load(h.nowOf(o), slices.Clone(h.storedSpecs), maps.Clone(h.storedProgress))
 	h.owners = append(h.owners, o)
 	h.listWorkers(o)
 }
 
+// nowOf returns the time on an owner's clock.
+func (h *harness) nowOf(o *simOwner) time.Time { return h.now.Add(o.skew) }
+
 func (h *harness) currentOwner() *simOwner { return h.owners[len(h.owners)-1] }
 
 func (h *harness) listWorkers(o *simOwner) {
 	if list, ok := h.list(); ok {
-		o.scheduler.SetWorkers(h.now, list)
+		o.scheduler.SetWorkers(h.nowOf(o), list)
 	}
 }
 
@@ -171,7 +182,7 @@
 	// Any running owner may receive the job, even one that has been replaced.
 	for _, o := range h.owners {
 		if !o.stopped && h.rng.IntN(3) > 0 {
-			o.scheduler.Accept(h.now, spec)
+			o.scheduler.Accept(h.nowOf(o), spec)
 			o.stopped = o.scheduler.LaterEpoch() > 0
 		}
 	}
@@ -194,7 +205,7 @@
 			}
 		}
 		for _, s := range h.unannounced {
-			h.currentOwner().scheduler.Accept(h.now, s)
+			h.currentOwner().scheduler.Accept(h.nowOf(h.currentOwner()), s)
 		}
 		h.unannounced = nil
 	}
@@ -202,7 +213,7 @@
 		h.deliverOrders(o)
 		if !o.stopped {
 			h.writeBatch(o)
-			o.scheduler.Tick(h.now)
+			o.scheduler.Tick(h.nowOf(o))
 			h.sendOrders(o)
 		}
 	}
@@ -296,15 +307,15 @@
 		return
 	}
 	if r == fleet.ReplyOtherIncarnation {
-		o.scheduler.IncarnationEnded(h.now, sent.order.Info)
+		o.scheduler.IncarnationEnded(h.nowOf(o), sent.order.Info)
 	}
 	switch {
 	case r == fleet.ReplyFenced:
 		o.stopped = true
 	case sent.order.Kind == fleet.OrderStart:
-		o.scheduler.StartAnswered(h.now, sent.order.Worker, sent.order.Task, sent.order.Run, r)
+		o.scheduler.StartAnswered(h.nowOf(o), sent.order.Worker, sent.order.Task, sent.order.Run, r)
 	case sent.order.Kind == fleet.OrderStop:
-		o.scheduler.StopAnswered(h.now, sent.order.Worker, sent.order.Task, sent.order.Run, r)
+		o.scheduler.StopAnswered(h.nowOf(o), sent.order.Worker, sent.order.Task, sent.order.Run, r)
 	case r == fleet.ReplyOK:
 		for _, e := range l.Ended {
 			if _, known := h.reportedEnds[e.Task]; !known && e.Kind == fleet.EndDone {
@@ -312,9 +323,9 @@
 				h.reportedEnds[e.Task] = endReport{h.now, w, w.Info.Incarnation, w.LastLapse.After(endTime(w, e))}
 			}
 		}
-		o.scheduler.HeartbeatAnswered(h.now, sent.order.Worker, sent.sentAt, l)
+		o.scheduler.HeartbeatAnswered(h.nowOf(o), sent.order.Worker, sent.sentAt.Add(o.skew), l)
 	default:
-		o.scheduler.HeartbeatFailed(h.now, sent.order.Worker)
+		o.scheduler.HeartbeatFailed(h.nowOf(o), sent.order.Worker)
 	}
 }
 
@@ -339,7 +350,7 @@
 		for _, p := range o.batch {
 			h.storedProgress[p.Job] = p
 		}
-		o.scheduler.BatchStored(h.now)
+		o.scheduler.BatchStored(h.nowOf(o))
 		if o.roster != nil {
 			h.storedRoster = o.roster
 			o.scheduler.RosterStored(o.roster, o.rosterVersion)
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -26,6 +26,17 @@
 	// timeToEndTTL is how long a phase's timeToEnd is reused; the estimates
 	// behind it change slowly.
 	timeToEndTTL = 300 * time.Millisecond
+	// maxStartsInFlight bounds the starts that have not been answered, each of which takes
+	// a goroutine and may take a connection. It is divided among the teams.
+	maxStartsInFlight = 1000
+	// maxSmallRuns bounds the runs on a worker to which tasks are added that ask for
+	// nothing: each answer to a heartbeat lists all of them.
+	maxSmallRuns = 500
+	// MaxGang bounds the tasks of a gang, which are all started at once.
+	MaxGang = 4000
+	// memoryReason and startsReason say why a phase waits.
+	memoryReason = "the team's jobs take up the owner's memory"
+	startsReason = "too many starts of the team are in flight"
 	// waitLogDelay is how long a phase waits before the reason is logged,
 	// waitLogInterval the time between two such lines.
 	waitLogDelay    = time.Second
@@ -40,12 +51,8 @@
 // when it must be called next.
 func (s *Scheduler) Tick(now time.Time) time.Time {
 	s.now = now
-	for p := range s.futurePhases {
-		if !p.job.Spec.Due(p.id.Occurrence).After(now) {
-			p.open()
-		}
-	}
-	if len(s.unresolved) > 0 {
+	s.buildDue()
+	if len(s.unresolved) > 0 || len(s.heldPhases) > 0 {
 		s.unreportedCapacity = s.sumUnreportedCapacity()
 	}
 	s.lapseSilent()
@@ -160,6 +167,9 @@
 			n = min(n, int(d[1]/d[0]))
 		}
 	}
+	if n == unbounded {
+		n = maxSmallRuns - len(w.tasks) - len(w.orphans)
+	}
 	return max(n, 0)
 }
 
@@ -297,22 +307,33 @@
 	if len(free) == 0 {
 		return p.noFreeWorkerReason()
 	}
-	for _, t := range p.tasks {
-		if t.state != taskWaiting {
+	for index := range p.spec.Count {
+		if !p.isWaiting(index) {
 			continue
 		}
-		i := slices.IndexFunc(free, func(f freeWorker) bool { return f.slots > 0 && !t.avoid.Has(f.worker.id) })
+		avoid := p.avoidedBy(index)
+		i := slices.IndexFunc(free, func(f freeWorker) bool { return f.slots > 0 && !avoid.Has(f.worker.id) })
 		if i < 0 {
 			// A task that has failed on all these workers may run on any of
 			// them again.
-			i = slices.IndexFunc(free, func(f freeWorker) bool { return f.slots > 0 && len(t.avoid) >= len(free) })
+			i = slices.IndexFunc(free, func(f freeWorker) bool { return f.slots > 0 && len(avoid) >= len(free) })
+		}
+		if i < 0 && len(avoid) == 0 {
+			// No worker has room for any task.
+			break
 		}
 		if i < 0 {
 			continue
 		}
-		if !s.withinLimit(p, p.need(), 1) {
+		switch {
+		case !s.withinLimit(p, p.need(), 1):
 			return "team is at its limit"
+		case !p.mayAddTasks(index, 1):
+			return memoryReason
+		case !s.starts.Admits(p.job.Spec.Team, 1):
+			return startsReason
 		}
+		t := p.task(index)
 		s.startTask(t, free[i], p.nextRun(t.run), t.checkpoint)
 		free[i].slots--
 	}
@@ -322,6 +343,28 @@
 	return ""
 }
 
+// isWaiting reports whether the task with an index may be placed.
+func (p *phase) isWaiting(index int) bool {
+	if t := p.tasks[index]; t != nil {
+		return t.state == taskWaiting
+	}
+	return p.held == 0 && !p.isDone(index)
+}
+
+// mayAddTasks reports whether there is memory for n tasks, unless the one with an index has
+// a state of its own already.
+func (p *phase) mayAddTasks(index, n int) bool {
+	return p.tasks[index] != nil || p.job.scheduler.placed.AdmitsOne(p.job.Spec.Team, int64(n)*taskBytes)
+}
+
+// avoidedBy returns the workers that the task with an index avoids.
+func (p *phase) avoidedBy(index int) core.Set[core.WorkerID] {
+	if t := p.tasks[index]; t != nil {
+		return t.avoid
+	}
+	return nil
+}
+
 // noFreeWorkerReason returns why no worker can take a task.
 func (p *phase) noFreeWorkerReason() string {
 	switch _, needsAdvice := p.advisor().Get(); {
@@ -346,17 +389,25 @@
 	if slots < p.spec.Count {
 		return fmt.Sprintf("%s (gang of %d tasks)", p.noFreeWorkerReason(), p.spec.Count)
 	}
+	switch {
+	case p.spec.Count > MaxGang:
+		return fmt.Sprintf("a gang of %d tasks cannot be started at once", p.spec.Count)
+	case !p.mayAddTasks(0, p.spec.Count):
+		return memoryReason
+	case !s.starts.AdmitsOne(p.job.Spec.Team, int64(p.spec.Count)):
+		return startsReason
+	}
 	run := p.nextRun(p.gangRun)
 	for _, t := range p.tasks {
 		run = max(run, p.nextRun(t.run))
 	}
 	p.gangRun = run
 	i := 0
-	for _, t := range p.tasks {
+	for index := range p.spec.Count {
 		for free[i].slots == 0 {
 			i++
 		}
-		s.startTask(t, free[i], run, p.gangCheckpoint)
+		s.startTask(p.task(index), free[i], run, p.gangCheckpoint)
 		free[i].slots--
 	}
 	return ""
@@ -390,6 +441,8 @@
 func (s *Scheduler) startTask(t *Task, f freeWorker, run uint64, checkpoint string) {
 	t.run, t.eventWorker = run, f.worker
 	t.fire(taskPlace)
+	s.starts.Charge(t.phase.job.Spec.Team, 1)
+	s.startTeams[startID{f.worker.id, t.ID(), run}] = t.phase.job.Spec.Team
 	s.counts.Starts++
 	s.addOrder(Order{
 		Kind: OrderStart, Worker: f.worker.id, Task: t.ID(), Run: run,
@@ -401,8 +454,9 @@
 // StartAnswered handles the outcome of a start.
 func (s *Scheduler) StartAnswered(now time.Time, worker core.WorkerID, id jobs.TaskID, run uint64, r Reply) {
 	s.now = now
-	t := s.task(id)
-	if t == nil || t.worker == nil || t.worker.id != worker || t.run != run {
+	s.endStart(startID{worker, id, run})
+	t := s.placedTask(worker, id, run)
+	if t == nil {
 		return
 	}
 	w := t.worker
@@ -434,7 +488,7 @@
 	if r != ReplyOK && r != ReplyStaleRun {
 		return
 	}
-	if t := s.task(id); t != nil && t.worker != nil && t.worker.id == worker && t.run == run {
+	if t := s.placedTask(worker, id, run); t != nil {
 		t.stopAckedAt = now
 	}
 	if w := s.workers[worker]; w != nil {
@@ -446,4 +500,34 @@
 	}
 }
 
+// startID names a start that has not been answered.
+type startID struct {
+	worker core.WorkerID
+	task   jobs.TaskID
+	run    uint64
+}
+
+// endStart records that a start is no longer in flight.
+func (s *Scheduler) endStart(id startID) {
+	team, ok := s.startTeams[id]
+	if !ok {
+		return
+	}
+	delete(s.startTeams, id)
+	s.starts.Credit(team, 1)
+	s.needsPlacement = true
+}
+
+// placedTask returns the task whose current run is on a worker, or nil if it is not there.
+func (s *Scheduler) placedTask(worker core.WorkerID, id jobs.TaskID, run uint64) *Task {
+	w := s.workers[worker]
+	if w == nil {
+		return nil
+	}
+	if t := w.tasks[id]; t != nil && t.run == run {
+		return t
+	}
+	return nil
+}
+
 func (s *Scheduler) logDecision(d Decision) { s.decisions = append(s.decisions, d) }
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -9,28 +9,23 @@
 
 // This file recovers the runs that earlier owners have started.
 
-// recoverJob recovers the runs of a job that an earlier owner may have started.
-// Unless the job's FirstEpoch excludes that, any of its tasks may be running until
-// resolveRecovered finds that no worker can have it.
-func (s *Scheduler) recoverJob(j *Job) {
-	if j.ended() || j.Spec.FirstEpoch >= s.recoverBefore {
-		return
-	}
-	mayHaveRun := !s.allReported || s.hasUnreportedWorkers()
-	for _, w := range s.sortedWorkers {
-		for id := range w.unknownRuns {
-			mayHaveRun = mayHaveRun || id.Job == j.Spec.ID
-		}
-	}
-	if !mayHaveRun {
+// mayHaveStarted reports whether an earlier owner may have started tasks of the job.
+func (j *Job) mayHaveStarted() bool {
+	return !j.ended() && j.Spec.FirstEpoch < j.scheduler.recoverBefore
+}
+
+// adoptUnknownRuns gives a new job the runs that workers have listed before the scheduler
+// knew the job.
+func (s *Scheduler) adoptUnknownRuns(j *Job) {
+	if !j.mayHaveStarted() {
 		return
 	}
-	for _, t := range j.tasks {
-		t.fire(taskRecover)
-	}
 	for _, w := range s.sortedWorkers {
 		for id, run := range w.unknownRuns {
-			if t := s.task(id); id.Job == j.Spec.ID && t != nil && t.state == taskHeld {
+			if id.Job != j.Spec.ID {
+				continue
+			}
+			if t := s.namedTask(id); t != nil && t.state == taskHeld {
 				t.eventWorker, t.run = w, run
 				t.fire(taskFound)
 				delete(w.unknownRuns, id)
@@ -47,7 +42,7 @@
 // has reported or its runs have certainly ended: a run that no worker listed does not
 // exist. A worker may run any task unless its entry in the roster names its runs.
 func (s *Scheduler) resolveRecovered() {
-	if s.allReported && len(s.unresolved) == 0 || slices.ContainsFunc(s.sortedWorkers, (*Worker).mayRunAny) {
+	if s.allReported && len(s.unresolved) == 0 && len(s.heldPhases) == 0 || slices.ContainsFunc(s.sortedWorkers, (*Worker).mayRunAny) {
 		return
 	}
 	if s.rosterUnknown && !s.now.After(s.earlierLeasesEnd) {
@@ -62,7 +57,16 @@
 			}
 		}
 	}
+	for id := range held {
+		if p := s.phase(id.PhaseID); p != nil && p.held > 0 && id.Index < p.spec.Count {
+			p.task(id.Index)
+		}
+	}
 	phases := map[*phase]struct{}{}
+	for p := range s.heldPhases {
+		p.clearHeld()
+		phases[p] = struct{}{}
+	}
 	for t := range s.unresolved {
 		if held.Has(t.ID()) {
 			continue
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/cell"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
@@ -22,8 +23,8 @@
 	// maxBatchRows bounds the rows of one batch: the platform accepts 100
 	// entries per transaction, and the ownership record is one of them.
 	maxBatchRows = 90
-	// maxClosedJobs bounds the ended jobs kept in memory to answer queries,
-	// about 5 KB each. Older ones are read from the store.
+	// maxClosedJobs bounds the ended jobs kept in memory to answer queries. Older ones
+	// are read from the store.
 	maxClosedJobs = 8000
 	// maxLease bounds the leases granted where the platform allows longer ones,
 	// since the tasks of a silent worker can start on another one only after
@@ -50,6 +51,8 @@
 	Retention time.Duration
 	// GangWait is how long the tasks of a gang wait for one another.
 	GangWait time.Duration
+	// Memory is the memory limit of the process in bytes; 0 means none.
+	Memory int64
 	// RemoteFactor multiplies the run times of tasks outside their phase's
 	// rack.
 	RemoteFactor float64
@@ -72,14 +75,32 @@
 	misdirected   misdirected
 	// openPhases holds the phases whose tasks may start.
 	openPhases map[*phase]struct{}
-	// futurePhases holds the phases of occurrences that are not due yet.
-	futurePhases map[*phase]struct{}
+	// due holds the jobs with occurrences that have not been built in their turn.
+	due map[core.Team]dueQueue
+	// accepted counts the bytes of the jobs that have not ended, built those of the
+	// occurrences in memory, placed those of the tasks with a state of their own.
+	accepted, built, placed *budget.Budget
+	// parked holds the jobs for which there is no memory, parkedOf those of each team and
+	// parkedBytes what they would take. urgentParked are those that are read whether there
+	// is room or not, since they are cancelled or a worker has named their runs.
+	parked       map[core.JobID]*parkedJob
+	parkedOf     map[core.Team]parkedQueue
+	parkedBytes  map[core.Team]int64
+	urgentParked core.Set[core.JobID]
+	// readingParked is set while rows of parked jobs are read, for which the budget
+	// accepted holds what reserved takes.
+	readingParked bool
+	reserved      []*parkedJob
+	// teamsWaiting counts the teams of which an occurrence that is due waits for memory.
+	teamsWaiting int
 	// used is the room that each team's runs hold on workers.
 	used map[core.Team]core.Resources
 	// unresolved holds the recovered tasks that may still run on a worker that
 	// has not reported, unresolvedNeed what those of each team would take.
 	unresolved     map[*Task]struct{}
 	unresolvedNeed map[core.Team]core.Resources
+	// heldPhases holds the phases with such tasks that no worker has named.
+	heldPhases map[*phase]struct{}
 	// unreportedCapacity is the total capacity of the workers that have not
 	// reported. It is updated only while tasks are unresolved.
 	unreportedCapacity core.Resources
@@ -125,7 +146,11 @@
 	decisions     []Decision
 	refusedEvents []error
 	counts        Counts
-	lastJobSeq    uint64
+	// starts counts the starts that have not been answered, startTeams holds the team of
+	// each.
+	starts     *budget.Budget
+	startTeams map[startID]core.Team
+	lastJobSeq uint64
 	// needsPlacement is set when a change may let waiting tasks start.
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
@@ -191,9 +216,10 @@
 	s := &Scheduler{
 		epoch: epoch, recoverBefore: epoch, now: now, earlierLeasesEnd: now.Add(maxOverlap + onSlowestClock(maxLease+leaseSlack)), allReported: epoch <= 1, limits: limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
-		openPhases: map[*phase]struct{}{}, futurePhases: map[*phase]struct{}{},
+		openPhases: map[*phase]struct{}{}, heldPhases: map[*phase]struct{}{}, due: map[core.Team]dueQueue{}, accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), starts: budget.New(0, 0), startTeams: map[startID]core.Team{}, parked: map[core.JobID]*parkedJob{}, parkedOf: map[core.Team]parkedQueue{}, parkedBytes: map[core.Team]int64{}, urgentParked: core.Set[core.JobID]{},
 		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{}, unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, dirty: map[core.JobID]*Job{},
 	}
+	s.resizeBudgets()
 	for _, o := range opts {
 		o(s)
 	}
@@ -207,12 +233,16 @@
 func (s *Scheduler) Counts() Counts { return s.counts }
 
 // SetLimits replaces the limits.
-func (s *Scheduler) SetLimits(l Limits) { s.limits = l.bounded() }
+func (s *Scheduler) SetLimits(l Limits) {
+	s.limits = l.bounded()
+	s.resizeBudgets()
+}
 
 // SetPolicy replaces the policy and recomputes the deadlines of the jobs that
 // have not ended.
 func (s *Scheduler) SetPolicy(p *policy.Policy) {
 	s.policy = p
+	s.resizeBudgets()
 	for _, j := range s.jobs {
 		if !j.ended() {
 			j.setDeadlines()
@@ -253,23 +283,28 @@
 // Accept adds a job that is in the store. It reports whether the job is new.
 func (s *Scheduler) Accept(now time.Time, spec jobs.Spec) bool {
 	s.now = now
-	if s.jobs[spec.ID] != nil || s.isForLaterOwner(&spec) {
+	if s.jobs[spec.ID] != nil || s.parked[spec.ID] != nil || s.isForLaterOwner(spec.FirstEpoch) {
 		return false
 	}
+	if !s.accepted.AdmitsOne(spec.Team, spec.Bytes()) {
+		s.park(&parkedJob{Stub: NewStub(&spec)})
+		return true
+	}
 	j := s.add(spec)
-	s.recoverJob(j)
+	s.adoptUnknownRuns(j)
+	s.addDue(j)
+	s.buildDue()
 	s.resolveRecovered()
-	j.openPhases()
 	return true
 }
 
 // isForLaterOwner reports whether a job must be left to a later owner, which
 // relies on no earlier one having started any of its tasks.
-func (s *Scheduler) isForLaterOwner(spec *jobs.Spec) bool {
-	if spec.FirstEpoch <= s.epoch {
+func (s *Scheduler) isForLaterOwner(first core.Epoch) bool {
+	if first <= s.epoch {
 		return false
 	}
-	s.laterEpoch = max(s.laterEpoch, spec.FirstEpoch)
+	s.laterEpoch = max(s.laterEpoch, first)
 	return true
 }
 
@@ -292,33 +327,46 @@
 	slices.SortFunc(specs, func(x, y jobs.Spec) int { return x.Accepted.Compare(y.Accepted) })
 	for _, spec := range specs {
 		recorded := progress[spec.ID]
-		if s.jobs[spec.ID] != nil || s.isForLaterOwner(&spec) {
+		if s.jobs[spec.ID] != nil || s.isForLaterOwner(spec.FirstEpoch) {
 			continue
 		}
+		cancelled := false
+		if p := s.parked[spec.ID]; p != nil {
+			cancelled = p.cancelled
+			s.unpark(p)
+		}
 		j := s.add(spec)
 		j.restore(&recorded)
-		s.recoverJob(j)
-		j.openPhases()
-		j.completeIfDone()
 		if j.state == jobClosed {
+			j.shrink()
 			s.closed = append(s.closed, closedJob{j.Spec.ID, now})
+			continue
+		}
+		s.adoptUnknownRuns(j)
+		s.addDue(j)
+		j.completeIfDone()
+		if cancelled {
+			j.cancel()
 		}
 	}
+	s.trimClosed()
+	s.buildDue()
 }
 
 // Cancel ends a job whose cancellation is in the store. It reports whether the
 // job is known.
 func (s *Scheduler) Cancel(now time.Time, id core.JobID) bool {
 	s.now = now
+	if p := s.parked[id]; p != nil {
+		p.cancelled = true
+		s.urgentParked.Add(id)
+		return true
+	}
 	j := s.jobs[id]
 	if j == nil {
 		return false
 	}
-	if !j.ended() {
-		j.progress.State = jobs.Cancelled
-		j.fire(jobCancel)
-		j.markDirty()
-	}
+	j.cancel()
 	return true
 }
 
@@ -340,6 +388,11 @@
 			out[j.Spec.Queue]++
 		}
 	}
+	for _, p := range s.parked {
+		if !p.Started && !p.cancelled {
+			out[p.Queue]++
+		}
+	}
 	return out
 }
 
@@ -372,12 +425,18 @@
 		if row.state != "" && row.job.state == jobClosing {
 			row.job.fire(jobRecorded)
 			row.job.logEnd()
+			row.job.shrink()
 			s.closed = append(s.closed, closedJob{row.job.Spec.ID, now})
 		}
 	}
 	s.inFlight = nil
 	s.storedSeq = s.inFlightSeq
-	for ; len(s.closed)-s.trimmed > maxClosedJobs; s.trimmed++ {
+	s.trimClosed()
+}
+
+// trimClosed forgets the oldest ended jobs above maxClosedJobs.
+func (s *Scheduler) trimClosed() {
+	for ; len(s.closed)-s.trimmed > s.maxClosed(); s.trimmed++ {
 		s.forget(s.closed[s.trimmed].job)
 	}
 }
@@ -424,16 +483,3 @@
 	s.used[team] = s.used[team].Sub(r)
 	s.needsPlacement = true
 }
-
-// task returns the task with the given ID, or nil if it is unknown.
-func (s *Scheduler) task(id jobs.TaskID) *Task {
-	j := s.jobs[id.Job]
-	if j == nil || id.Phase >= len(j.Spec.Phases) || id.Occurrence >= j.Spec.Occurrences() {
-		return nil
-	}
-	p := j.phases[id.Occurrence*len(j.Spec.Phases)+id.Phase]
-	if id.Index >= len(p.tasks) {
-		return nil
-	}
-	return p.tasks[id.Index]
-}
--- a/core/fleet/task.go
+++ b/core/fleet/task.go
@@ -68,8 +68,12 @@
 // position returns the task's position in the job's progress.
 func (t *Task) position() int { return t.phase.firstPosition + t.index }
 
+// fire handles an event. A task that is done or dropped needs no state of its own.
 func (t *Task) fire(ev chart.Event) {
 	t.phase.job.scheduler.recordRefused(taskChart.Fire(&t.state, ev, t))
+	if t.state == taskDone || t.state == taskDropped {
+		t.phase.removeTask(t)
+	}
 }
 
 // addUnresolved marks a recovered task that may be running on a worker that has
@@ -103,6 +107,7 @@
 	t.worker.free = t.worker.free.Sub(t.reserved)
 	t.phase.tasksWaiting--
 	t.phase.tasksPlaced++
+	t.phase.occurrence.tasksPlaced++
 	t.phase.job.tasksPlaced++
 	s.chargeTeam(t.phase.job.Spec.Team, t.reserved)
 	if t.state == taskRunning {
@@ -118,8 +123,10 @@
 	t.worker = nil
 	t.phase.tasksWaiting++
 	t.phase.tasksPlaced--
+	t.phase.occurrence.tasksPlaced--
 	t.phase.job.tasksPlaced--
 	s.creditTeam(t.phase.job.Spec.Team, t.reserved)
+	t.phase.occurrence.discardIfUnneeded()
 	switch {
 	case t.state != taskWaiting || !t.phase.spec.Gang:
 	case t.phase.gangDone:
@@ -167,17 +174,19 @@
 	if p.gangDone {
 		return
 	}
+	p.clearHeld()
+	p.tasksWaiting -= p.spec.Count - len(p.tasks)
 	p.gangDone, p.tasksLeft = true, 0
-	for _, t := range p.tasks {
-		p.job.progress.SetDone(t.position())
+	for i := range p.spec.Count {
+		p.job.progress.SetDone(p.firstPosition + i)
 	}
 	p.job.markDirty()
-	p.complete()
-	for _, t := range p.tasks {
+	for _, t := range p.sortedTasks() {
 		if t.state == taskWaiting || t.state == taskHeld {
 			t.fire(taskEndDone)
 		}
 	}
+	p.complete()
 }
 
 // countFailure counts the failed run t.run and fails the job after too many
--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"math/bits"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +19,10 @@
 	maxTasks = 100_000
 	// maxPayload bounds the payload of a job, in bytes.
 	maxPayload = 4000
+	// jobBytes and phaseBytes are what a job and each of its phases take in memory, beside
+	// their texts.
+	jobBytes   = 1800
+	phaseBytes = 320
 	// maxAmount bounds each amount of room that a task needs, and maxDuration each
 	// duration, so that sums over a job do not overflow.
 	maxAmount   = 1 << 40
@@ -150,6 +155,30 @@
 // Occurrences returns how often the phases run, which is at least once.
 func (s *Spec) Occurrences() int { return max(s.Repeat, 1) }
 
+// TasksPerOccurrence returns the number of tasks of one occurrence.
+func (s *Spec) TasksPerOccurrence() int {
+	n := 0
+	for _, p := range s.Phases {
+		n += p.Count
+	}
+	return n
+}
+
+// Bytes returns an upper bound of the memory that the job takes until it has ended, beside
+// the tasks that run.
+func (s *Spec) Bytes() int64 {
+	n := jobBytes + len(s.Payload) + len(s.ID) + len(s.Team) + len(s.Queue) + s.TasksPerOccurrence()*s.Occurrences()/8
+	for _, p := range s.Phases {
+		n += phaseBytes + 8*len(p.After) + len(p.Label) + len(p.Rack) + len(p.Image)
+	}
+	return int64(n)
+}
+
+// Has reports whether the job has a task with the given ID.
+func (s *Spec) Has(id TaskID) bool {
+	return id.Job == s.ID && id.Occurrence < s.Occurrences() && id.Phase < len(s.Phases) && id.Index < s.Phases[id.Phase].Count
+}
+
 // Due returns when an occurrence may start; zero means at once. It never decreases from
 // one occurrence to the next.
 func (s *Spec) Due(occurrence int) time.Time {
@@ -275,6 +304,24 @@
 	return position/8 < len(p.Done) && p.Done[position/8]&(1<<(position%8)) != 0
 }
 
+// CountDone returns how many of the tasks at the positions from first to before end are
+// done.
+func (p *Progress) CountDone(first, end int) int {
+	n := 0
+	end = min(end, 8*len(p.Done))
+	for position := first; position < end; position++ {
+		if position%8 == 0 && position+8 <= end {
+			n += bits.OnesCount8(p.Done[position/8])
+			position += 7
+			continue
+		}
+		if p.IsDone(position) {
+			n++
+		}
+	}
+	return n
+}
+
 // AddFailedRun adds a failed run of the task at a position in Done and reports
 // whether it is new.
 func (p *Progress) AddFailedRun(position int, run uint64) bool {
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -55,3 +55,23 @@
 		last = s.Due(k)
 	}
 }
+
+// TestCountDone compares CountDone with IsDone at all offsets in a byte.
+func TestCountDone(t *testing.T) {
+	is := is.New(t)
+	var p jobs.Progress
+	for _, i := range []int{0, 3, 7, 8, 15, 16, 17, 18, 19, 20, 21, 22, 23, 31} {
+		p.SetDone(i)
+	}
+	for first := range 40 {
+		for end := first; end < 48; end++ {
+			n := 0
+			for i := first; i < end; i++ {
+				if p.IsDone(i) {
+					n++
+				}
+			}
+			is.Equal(p.CountDone(first, end), n)
+		}
+	}
+}
--- a/core/types.go
+++ b/core/types.go
@@ -76,6 +76,11 @@
 	return Resources{r.Cores - o.Cores, r.Memory - o.Memory, r.Accel - o.Accel}
 }
 
+// Times returns the amounts of n equal needs.
+func (r Resources) Times(n int64) Resources {
+	return Resources{r.Cores * n, r.Memory * n, r.Accel * n}
+}
+
 // Min returns the smaller of r and o in each dimension.
 func (r Resources) Min(o Resources) Resources {
 	return Resources{min(r.Cores, o.Cores), min(r.Memory, o.Memory), min(r.Accel, o.Accel)}
--- /dev/null
+++ b/io/entry/door_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
+	"chicoryturn/core/budget"
+	"chicoryturn/core/elect"
+	"chicoryturn/core/fleet"
+	"chicoryturn/core/jobs"
+)
+
+// TestOverBudget guards against a team whose jobs take all of the owner's memory (review/1):
+// they are refused with the time after which to return, other teams' jobs are not, and a call
+// for a job that is stored already succeeds.
+func TestOverBudget(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	deps := &fakeDeps{connected: true}
+	e := newEntry(deps)
+	e.SetPolicy(newPolicy(5, "k"))
+	submit := func(id string, team core.Team) error {
+		return e.Submit(ctx, jobs.Spec{ID: core.JobID(id), Team: team, Queue: "q", Phases: []jobs.Phase{{Count: 1}}})
+	}
+	is.NoErr(submit("a", "t"))
+	const rest = 1 << 20
+	e.SetRecord(elect.Record{Held: &budget.Summary{Rest: rest, Own: rest / 2, Shared: rest, Teams: map[core.Team]budget.TeamUse{"t": {Bytes: 3 * rest / 2, Rate: rest / 8}}}})
+
+	err := submit("b", "t")
+	is.Equal(code(err), core.CodeOverLimit)
+	var r *core.RefusalError
+	is.True(errors.As(err, &r))
+	is.Equal(r.Execution, core.NotExecuted)
+	is.True(r.RetryAfter >= 8*time.Second)
+	is.True(r.RetryAfter < 9*time.Second)
+	is.NoErr(submit("c", "u"))
+	notified := len(deps.notified)
+	is.NoErr(submit("a", "t"))
+	is.Equal(len(deps.notified), notified+1) // the owner may not have heard of it
+
+	// Without an answer of the store nothing is known of an earlier call.
+	deps.err = context.DeadlineExceeded
+	err = submit("b", "t")
+	is.True(errors.As(err, &r))
+	is.Equal(r.Execution, core.ExecutionUnknown)
+}
+
+// TestLargeGang checks that a gang that cannot be started at once is refused.
+func TestLargeGang(t *testing.T) {
+	is := is.New(t)
+	e := newEntry(&fakeDeps{connected: true})
+	e.SetPolicy(newPolicy(5, "k"))
+	spec := jobs.Spec{ID: "a", Queue: "q", Phases: []jobs.Phase{{Count: fleet.MaxGang, Gang: true}}}
+	is.NoErr(e.Submit(context.Background(), spec))
+	spec.Phases[0].Count++
+	is.Equal(code(e.Submit(context.Background(), spec)), core.CodeTooLarge)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
@@ -40,6 +41,8 @@
 	// Accept stores a job and returns it as it is in the store, where an earlier call
 	// may have put it.
 	Accept(ctx context.Context, spec jobs.Spec) (jobs.Spec, error)
+	// Find returns the stored job that a call repeats, if there is one.
+	Find(ctx context.Context, spec jobs.Spec) (stored jobs.Spec, found bool, err error)
 	Cancel(ctx context.Context, id core.JobID, now time.Time) error
 	// State returns the state of a job from the stored rows alone.
 	State(ctx context.Context, id core.JobID) (jobs.State, error)
@@ -98,6 +101,7 @@
 	roomHint atomic.Pointer[roomHint]
 	// firstEpoch is the epoch of the first owner that may start a job accepted now.
 	firstEpoch atomic.Uint64
+	door       door
 	draining   atomic.Bool
 	// inFlight counts the calls that have not been answered.
 	inFlight atomic.Int64
@@ -129,6 +133,7 @@
 // SetPolicy is called.
 func New(records RecordStore, link OwnerLink, advisor Advisor, meter Meter, log *logrus.Entry, opts ...Option) *Entry {
 	e := &Entry{records: records, link: link, advisor: advisor, meter: meter, log: log, confirmation: newConfirmation(clock.BootTime)}
+	e.door.decisions = budget.NewDoor(0)
 	for _, o := range opts {
 		o(e)
 	}
@@ -251,6 +256,9 @@
 		if err := e.checkCapacity(&spec); err != nil {
 			return "", err
 		}
+		if retry, ok := e.door.admit(&spec); !ok {
+			return e.refuseOverBudget(ctx, spec, retry)
+		}
 		early := e.requestEarlyAdvice(&spec)
 		spec.FirstEpoch = core.Epoch(e.firstEpoch.Load())
 		stored, err := e.records.Accept(ctx, spec)
@@ -266,8 +274,13 @@
 }
 
 // checkCapacity refuses a job with a task that would not fit even on an idle worker of
-// its service.
+// its service, or with a gang that cannot be started at once.
 func (e *Entry) checkCapacity(spec *jobs.Spec) error {
+	for i, ph := range spec.Phases {
+		if ph.Gang && ph.Count > fleet.MaxGang {
+			return core.Refuse(core.CodeTooLarge, "phase %d is a gang of %d tasks; the limit is %d", i, ph.Count, fleet.MaxGang)
+		}
+	}
 	q, maxCapacity := e.policy.Load().Queues[spec.Queue], e.maxCapacity.Load()
 	if q == nil || maxCapacity == nil {
 		return nil
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,10 @@
 	return s, d.err
 }
 
+func (d *fakeDeps) Find(_ context.Context, s jobs.Spec) (jobs.Spec, bool, error) {
+	return s, slices.Contains(d.accepted, s.ID), d.err
+}
+
 func (d *fakeDeps) Cancel(context.Context, core.JobID, time.Time) error { return d.err }
 
 // fakeRecords is the store of fakeDeps. It returns the state of jobs as the store has
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -144,11 +144,11 @@
 	// The lister has its own adaptive time-outs, since its reads are larger
 	// than those of the record store.
 	n.records, n.lister = record.New(adapt.New(store), record.WithReachability(store)), p.Lister(adapt.New(store))
-	n.entry = entry.New(n.records, toOwner, n.advice, meter{}, n.logger("entry"))
+	n.entry = entry.New(n.records, toOwner, n.advice, meter{}, n.logger("entry"), entry.WithMemory(s.Limits.Memory))
 	n.session = newSessionID(s.VM)
 	candidate := elect.Record{Holder: n.session, VM: s.VM, Addr: s.Peers}
 	n.owner = owner.New(l, owner.Deps{Records: n.records, Workers: p.Workers, Lister: n.lister, Meter: meter{}}, candidate, claimDelay(s), s.Limits, n.logger("owner"),
-		owner.WithWorkersHook(n.entry.SetWorkers), owner.WithTickHook(n.entry.CheckPause),
+		owner.WithWorkersHook(n.entry.SetWorkers), owner.WithTickHook(n.entry.CheckPause), owner.WithRecordHook(n.entry.SetRecord),
 		owner.WithOwnerHook(func(r elect.Record, isOwner bool) { n.ownerChanged(toOwner, r, isOwner) }))
 	n.linkClient = link.NewClient(s.VM, string(s.Zone), n.advice, n.owner, store.ServeDirect, n.logger("link"), link.WithRoomHint(n.entry.SetRoomHint))
 	n.linkServer = link.NewServer(n.owner, n.session, store.Serve, n.logger("link"))
@@ -194,9 +194,7 @@
 // run starts all parts and waits until they have ended; exit ends the context.
 func (n *Node) run(ctx context.Context, stop <-chan struct{}, exit context.CancelFunc) error {
 	debug.SetGCPercent(gcPercent)
-	if n.settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(n.settings.MemoryBytes)))
-	}
+	setMemoryLimit(n.settings.Limits.Memory)
 	g, ctx := errgroup.WithContext(ctx)
 	logCtx, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
 	logsWritten := make(chan struct{})
@@ -219,11 +217,18 @@
 	g.Go(func() error { return n.watchSettings(ctx) })
 	n.owner.AddPeer(&localPeer{vm: n.settings.VM, advice: n.advice, owner: n.owner, entry: n.entry})
 	n.logger("node").WithFields(logrus.Fields{
-		"callers": n.settings.Callers.String(), "peers": n.settings.Peers.String(), "share": n.settings.CoreShare, "memory": n.settings.MemoryBytes,
+		"callers": n.settings.Callers.String(), "peers": n.settings.Peers.String(), "share": n.settings.CoreShare, "memory": n.settings.Limits.Memory,
 	}).Info("started")
 	return g.Wait()
 }
 
+// setMemoryLimit bounds the heap by a part of the process's memory limit, if there is one.
+func setMemoryLimit(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(bytes)))
+	}
+}
+
 // serve listens on the process's addresses and starts their servers.
 func (n *Node) serve(ctx context.Context, g *errgroup.Group, stop <-chan struct{}, exit context.CancelFunc) error {
 	callers, err := proc.Listen("callers", n.settings.Callers)
--- a/io/node/reload.go
+++ b/io/node/reload.go
@@ -41,6 +41,7 @@
 func (n *Node) applySettings(old, s Settings) {
 	n.grace.Store(int64(s.Grace))
 	n.owner.SetLimits(s.Limits)
+	setMemoryLimit(s.Limits.Memory)
 	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
 		n.log.SetLevel(level)
 	}
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -20,12 +20,11 @@
 	// Callers, Probes, Peers and Ops are the addresses for clients, readiness
 	// probes, other VMs and operators.
 	Callers, Probes, Peers, Ops netip.AddrPort
-	// CoreShare is the share of a core that the process may use, MemoryBytes its
-	// memory limit and LinkMbps the VM's network bandwidth; 0 means not set.
-	CoreShare   float64
-	MemoryBytes int64
-	LinkMbps    float64
-	Limits      fleet.Limits
+	// CoreShare is the share of a core that the process may use, LinkMbps the VM's
+	// network bandwidth; 0 means not set.
+	CoreShare float64
+	LinkMbps  float64
+	Limits    fleet.Limits
 	// Grace is the time between the order to stop and a forced stop.
 	Grace time.Duration
 	// LogLevel is the lowest log level that is written.
--- a/io/owner/contest_test.go
+++ b/io/owner/contest_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/policy"
@@ -51,7 +52,7 @@
 	return table.WriteResult{Version: uint64(s.writes.Load())}, nil
 }
 
-func (s *contestedStore) Load(context.Context) (*record.Snapshot, error) {
+func (s *contestedStore) Load(context.Context, *budget.Budget) (*record.Snapshot, error) {
 	return &record.Snapshot{}, nil
 }
 
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -31,6 +31,10 @@
 // transaction, which include the ownership record and the roster.
 const maxProgressRows = 80
 
+// reloadDivisor divides the memory for jobs in a load beside a scheduler, which has most of
+// them already.
+const reloadDivisor = 4
+
 // isCompacted reports whether the feed of changes has been compacted past the
 // requested version.
 func isCompacted(err error) bool {
@@ -71,7 +75,11 @@
 	wasHolder := o.election.IsHolder()
 	rec := obs.Record
 	o.election.SetClaimDelay(o.claimDelay + min(claimDelayFactor*took, maxStoreDelay))
+	_, versionBefore := o.election.Record()
 	claim := o.election.Observe(now, obs)
+	if current, version := o.election.Record(); version != versionBefore {
+		o.onRecord(current)
+	}
 	if wasHolder && !o.election.IsHolder() {
 		o.discardScheduler("another process holds the ownership record")
 	}
@@ -162,6 +170,7 @@
 	next, version := o.election.NextRecord(now)
 	write := record.OwnerWrite{Record: next, Version: version}
 	if o.scheduler != nil {
+		write.Record.Held = o.scheduler.Held(now)
 		write.Progress = o.scheduler.Batch()
 		write.Roster = o.rosterToStore
 		if len(write.Progress)+len(o.progressToDelete) <= maxProgressRows {
@@ -196,6 +205,7 @@
 	case err == nil:
 		wasHolder := o.election.IsHolder()
 		o.election.WriteSucceeded(now, write.Record, result.Version, result.Now)
+		o.onRecord(write.Record)
 		o.lastWrite = now
 		o.announceOwner()
 		if !wasHolder && o.election.Loading() {
@@ -255,9 +265,15 @@
 	o.snapshotLoadInFlight = true
 	current, _ := o.election.Record()
 	epoch := current.Epoch
+	memory := o.limits.Memory
+	if o.scheduler != nil {
+		// The jobs that the scheduler has are read again, and dropped.
+		memory /= reloadDivisor
+	}
+	accepted := fleet.NewAcceptedBudget(memory, o.policy)
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		began := time.Now()
-		snapshot, err := guard.Call(func() (*record.Snapshot, error) { return o.records.Load(ctx) })
+		snapshot, err := guard.Call(func() (*record.Snapshot, error) { return o.records.Load(ctx, accepted) })
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.snapshotLoadInFlight = false
@@ -332,6 +348,7 @@
 		o.meter.SetOwning(true)
 	}
 	o.scheduler.Load(now, o.validSpecs(snapshot.Specs), snapshot.Progress)
+	o.scheduler.Park(now, snapshot.Parked)
 	for _, id := range snapshot.Cancelled {
 		o.scheduler.Cancel(now, id)
 	}
@@ -346,7 +363,7 @@
 	o.changesVersion = snapshot.Version
 	o.nextWorkersRead, o.nextChangesRead, o.nextTick = now, now, now
 	o.election.StateLoaded()
-	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}).Info("owning the fleet")
+	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "parked": len(snapshot.Parked), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}).Info("owning the fleet")
 	o.onOwner(o.announcedRecord, true)
 }
 
--- a/io/owner/list_test.go
+++ b/io/owner/list_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
@@ -31,7 +32,7 @@
 	return elect.Observation{Record: elect.Record{Epoch: 1}, Version: 2}, nil
 }
 
-func (*leftWorker) Load(context.Context) (*record.Snapshot, error) {
+func (*leftWorker) Load(context.Context, *budget.Budget) (*record.Snapshot, error) {
 	worker := fleet.WorkerInfo{VM: core.VM{Name: "w", Service: "s", Capacity: core.Resources{Cores: 1000}}, Incarnation: oldIncarnation}
 	return &record.Snapshot{Specs: []jobs.Spec{goodSpec}, Roster: []fleet.RosterEntry{{WorkerInfo: worker}}}, nil
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
@@ -51,7 +52,8 @@
 type RecordStore interface {
 	OwnerRecord(ctx context.Context) (elect.Observation, error)
 	Write(ctx context.Context, r record.OwnerWrite) (table.WriteResult, error)
-	Load(ctx context.Context) (*record.Snapshot, error)
+	Load(ctx context.Context, b *budget.Budget) (*record.Snapshot, error)
+	Jobs(ctx context.Context, ids []core.JobID) (*record.Snapshot, error)
 	Changes(ctx context.Context, after uint64) (record.Snapshot, error)
 	Delete(ctx context.Context, ids []core.JobID) error
 }
@@ -74,6 +76,7 @@
 	Call(kind string, reply string, took time.Duration)
 	Record(rows int, took time.Duration)
 	Placement(took time.Duration)
+	Memory(use fleet.MemoryUse)
 	SetOwning(isOwner bool)
 }
 
@@ -104,6 +107,8 @@
 	// onOwner is called when the owner of the fleet changes and when this process
 	// starts to schedule.
 	onOwner func(rec elect.Record, isOwner bool)
+	// onRecord is called with the ownership record whenever it has been read or written.
+	onRecord func(rec elect.Record)
 	// announcedRecord is the ownership record last passed to onOwner.
 	announcedRecord elect.Record
 	// onWorkers is called with each new worker list.
@@ -128,7 +133,9 @@
 	unappliedSnapshot *loadedSnapshot
 	// nextCleanup is the time of the next deletion of ended jobs. The next write
 	// deletes the progress rows of progressToDelete.
-	nextCleanup      time.Time
+	nextCleanup time.Time
+	// nextParkedRead is the earliest time of the next read of parked jobs.
+	nextParkedRead   time.Time
 	progressToDelete []core.JobID
 	deleteInFlight   bool
 	// changesVersion is the version after which the next read of changes starts.
@@ -151,6 +158,10 @@
 	return func(o *Owner) { o.onOwner = f }
 }
 
+// WithRecordHook sets a function that is called with each new version of the ownership
+// record.
+func WithRecordHook(f func(rec elect.Record)) Option { return func(o *Owner) { o.onRecord = f } }
+
 // WithWorkersHook sets a function that is called with each new worker list.
 func WithWorkersHook(f func([]fleet.WorkerInfo)) Option { return func(o *Owner) { o.onWorkers = f } }
 
@@ -173,7 +184,7 @@
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
 		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), changesInterval: maxChangesInterval,
-		onOwner: func(elect.Record, bool) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
+		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
 		drained: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -248,6 +259,7 @@
 	if o.scheduler != nil && maySendOrders && !o.draining {
 		o.readChanges(now)
 		o.deleteExpired(now)
+		o.readParked(now)
 		if !now.Before(o.nextTick) {
 			o.tick(now)
 		}
@@ -272,6 +284,7 @@
 	o.sendRoomHint(now)
 	o.meter.Placement(time.Since(began))
 	o.meter.Counts(o.scheduler.Counts())
+	o.meter.Memory(o.scheduler.MemoryUse())
 	o.logDecisions()
 	o.nextTick = next
 }
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
@@ -39,7 +40,7 @@
 	return table.WriteResult{Version: 1}, nil
 }
 
-func (o *fakeDeps) Load(ctx context.Context) (*record.Snapshot, error) {
+func (o *fakeDeps) Load(ctx context.Context, _ *budget.Budget) (*record.Snapshot, error) {
 	o.mu.Lock()
 	o.loads++
 	o.loading++
@@ -55,6 +56,10 @@
 	return &record.Snapshot{}, nil
 }
 
+func (*fakeDeps) Jobs(context.Context, []core.JobID) (*record.Snapshot, error) {
+	return &record.Snapshot{}, nil
+}
+
 func (o *fakeDeps) Changes(context.Context, uint64) (record.Snapshot, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -77,6 +82,7 @@
 }
 
 func (*fakeDeps) Counts(fleet.Counts)                {}
+func (*fakeDeps) Memory(fleet.MemoryUse)             {}
 func (*fakeDeps) Call(string, string, time.Duration) {}
 func (*fakeDeps) Record(int, time.Duration)          {}
 func (*fakeDeps) Placement(time.Duration)            {}
--- a/io/owner/panic_test.go
+++ b/io/owner/panic_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
@@ -36,7 +37,7 @@
 	workers, changes, heartbeats atomic.Int64
 }
 
-func (o *oddDeps) Load(context.Context) (*record.Snapshot, error) {
+func (o *oddDeps) Load(context.Context, *budget.Budget) (*record.Snapshot, error) {
 	return &record.Snapshot{Specs: append([]jobs.Spec{goodSpec}, invalidSpecs...)}, nil
 }
 
--- a/io/record/format_test.go
+++ b/io/record/format_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
@@ -154,7 +155,7 @@
 	is.Equal(len(old.rows), 6) // two jobs, a cancellation, progress, owner, roster
 
 	store := startStore(t, old)
-	snap, err := store.Load(context.Background())
+	snap, err := store.Load(context.Background(), budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(snap.RowErrors, nil)
 	loaded := map[core.JobID]jobs.Spec{}
@@ -174,7 +175,7 @@
 	checkAllSet(t, snap.Progress["full"])
 	checkAllSet(t, snap.Roster[0].WorkerInfo) // that build had no other fields
 	checkAllSet(t, snap.Roster[1].WorkerInfo)
-	checkAllSet(t, obs.Record)
+	checkAllSet(t, obs.Record, heldRecord(t)) // that build did not have Held
 
 	again := newFakeTable()
 	store = startStore(t, again)
@@ -193,6 +194,32 @@
 	}
 }
 
+// heldRow is an ownership record with the fields that later builds have added.
+const heldRow = `{"Holder":"sched-1","VM":"entry-1","Addr":"10.0.0.2:72","Epoch":22,"Beat":23,"Stamp":24,` +
+	`"Held":{"Rest":25,"Own":29,"Shared":26,"Teams":{"red":{"Bytes":27,"Rate":28}}}}`
+
+// heldRecord returns the record of heldRow.
+func heldRecord(t *testing.T) elect.Record {
+	t.Helper()
+	var rec elect.Record
+	if err := json.Unmarshal([]byte(heldRow), &rec); err != nil {
+		t.Fatal(err)
+	}
+	return rec
+}
+
+// TestHeldFormat guards against a change of how the ownership record tells what the accepted
+// jobs take.
+func TestHeldFormat(t *testing.T) {
+	is := is.New(t)
+	rec := heldRecord(t)
+	is.Equal(rec.Held, &budget.Summary{Rest: 25, Own: 29, Shared: 26, Teams: map[core.Team]budget.TeamUse{"red": {Bytes: 27, Rate: 28}}})
+	tbl := newFakeTable()
+	_, err := startStore(t, tbl).Write(context.Background(), record.OwnerWrite{Record: rec})
+	is.NoErr(err)
+	is.Equal(string(tbl.rows[table.Key{Table: "fleet", Part: "fleet", Name: "seat"}].Val), heldRow)
+}
+
 // silentRow is a row of the roster with the fields that later builds have added.
 const silentRow = `{"Pages":1,"Hosts":[{"Name":"worker-1","Kind":"","Addr":"10.0.0.1:71","Region":"","Zone":"","Rack":"","Leaving":false,` +
 	`"Room":{"Cores":0,"Memory":0,"Accel":0},"Service":"","Slots":0,"Labels":null,"Left":0,"Born":"2026-03-04T05:06:40Z","Beat":0,` +
@@ -205,7 +232,7 @@
 	stored := newFakeTable()
 	k := table.Key{Table: "fleet", Part: "fleet", Name: "roster/0000"}
 	stored.rows[k] = table.Row{Key: k, Val: []byte(silentRow), Version: 1}
-	snap, err := startStore(t, stored).Load(context.Background())
+	snap, err := startStore(t, stored).Load(context.Background(), budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(snap.Roster, []fleet.RosterEntry{{
 		WorkerInfo: fleet.WorkerInfo{VM: core.VM{Name: "worker-1", Addr: netip.MustParseAddrPort("10.0.0.1:71")}, Incarnation: second(40)},
--- a/io/record/fuzz_test.go
+++ b/io/record/fuzz_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"chicoryturn/core/budget"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
@@ -26,7 +27,7 @@
 		} {
 			tbl.rows[k] = table.Row{Key: k, Val: []byte(text), Version: 1}
 		}
-		snapshot, err := record.New(tbl).Load(context.Background())
+		snapshot, err := record.New(tbl).Load(context.Background(), budget.New(0, 0))
 		if err != nil {
 			return
 		}
--- /dev/null
+++ b/io/record/load.go
@@ -0,0 +1,274 @@
+package record
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"chicoryturn/core"
+	"chicoryturn/core/budget"
+	"chicoryturn/core/fleet"
+	"chicoryturn/core/jobs"
+	"chicoryturn/io/table"
+)
+
+// failedRunBytes is what a failed run takes in memory.
+const failedRunBytes = 64
+
+// Snapshot holds the stored state, or the changes to it since a version.
+type Snapshot struct {
+	// Specs are the jobs that fit into memory, Parked the others. Of the jobs that have
+	// ended Specs lacks the payload.
+	Specs  []jobs.Spec
+	Parked []fleet.Stub
+	// Progress is that of Specs; of the jobs that have ended it holds the state alone.
+	Progress  map[core.JobID]jobs.Progress
+	Cancelled []core.JobID
+	Roster    []fleet.RosterEntry
+	// RosterErrors holds one error for each row of the roster that could not be decoded.
+	// Earlier owners may have used workers that Roster lacks.
+	RosterErrors []error
+	// Version is the version from which Changes continues.
+	Version uint64
+	// RowErrors holds one error for each row that could not be decoded.
+	RowErrors []error
+	// filter selects the jobs of a load; nil keeps all of them.
+	filter *filter
+}
+
+// filter keeps the jobs of a load that fit into memory.
+type filter struct {
+	progress map[core.JobID]jobs.Progress
+	// unread holds the jobs whose progress does not fit into memory.
+	unread core.Set[core.JobID]
+
+	mu     sync.Mutex
+	budget *budget.Budget
+}
+
+// keep reports whether a job is kept. It parks any other job.
+func (f *filter) keep(s *Snapshot, spec *jobs.Spec) bool {
+	recorded, started := f.progress[spec.ID]
+	switch {
+	case f.budget.Limit() == 0:
+		return true
+	case recorded.State.Final():
+		spec.Payload = ""
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if bytes := spec.Bytes(); !f.unread.Has(spec.ID) && f.budget.AdmitsOne(spec.Team, bytes) {
+		f.budget.Charge(spec.Team, bytes)
+		return true
+	}
+	stub := fleet.NewStub(spec)
+	stub.Started = started || f.unread.Has(spec.ID)
+	s.Parked = append(s.Parked, stub)
+	return false
+}
+
+// Load reads the whole stored state. It reads partitions in parallel. It charges the jobs
+// that have not ended to a budget and parks those that it does not admit. It reads the
+// progress first, which only the owner writes: a job that is accepted later has none.
+func (s *Store) Load(ctx context.Context, b *budget.Budget) (*Snapshot, error) {
+	out := &Snapshot{Progress: map[core.JobID]jobs.Progress{}}
+	f := &filter{unread: core.Set[core.JobID]{}, budget: b}
+	if err := s.loadProgress(ctx, out, f, b.Limit()); err != nil {
+		return nil, err
+	}
+	f.progress = out.Progress
+	found := make([]Snapshot, jobParts)
+	g, sub := errgroup.WithContext(ctx)
+	g.SetLimit(maxParallelReads)
+	for p := range jobParts {
+		found[p].filter = f
+		g.Go(func() error {
+			var err error
+			found[p].Version, err = s.scan(sub, table.Range{Table: jobTable, Part: partName(p)}, found[p].addJob)
+			return err
+		})
+	}
+	g.Go(func() error {
+		rows, damaged, err := s.roster(sub)
+		out.Roster, out.RosterErrors = slices.Concat(rows...), damaged
+		s.mu.Lock()
+		s.loadedRoster = rows
+		s.mu.Unlock()
+		return err
+	})
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	out.Version = found[0].Version
+	for _, p := range found {
+		out.Specs = append(out.Specs, p.Specs...)
+		out.Parked = append(out.Parked, p.Parked...)
+		out.Cancelled = append(out.Cancelled, p.Cancelled...)
+		out.RowErrors = append(out.RowErrors, p.RowErrors...)
+		out.Version = min(out.Version, p.Version)
+	}
+	for _, stub := range out.Parked {
+		delete(out.Progress, stub.ID)
+	}
+	return out, nil
+}
+
+// loadProgress reads the progress of all jobs. That of jobs that have not ended takes at
+// most limit bytes, 0 for any number; the others are in f.unread.
+func (s *Store) loadProgress(ctx context.Context, out *Snapshot, f *filter, limit int64) error {
+	var mu sync.Mutex
+	used := int64(0)
+	g, sub := errgroup.WithContext(ctx)
+	for i, from := range progressRangeStarts {
+		to := ""
+		if i+1 < len(progressRangeStarts) {
+			to = progressRangeStarts[i+1]
+		}
+		g.Go(func() error {
+			_, err := s.scan(sub, table.Range{Table: progressTable, Part: fleetPart, From: from, To: to}, func(row table.Row) {
+				p, err := decodeProgress(row)
+				mu.Lock()
+				defer mu.Unlock()
+				switch size := progressBytes(&p); {
+				case err != nil:
+					out.RowErrors = append(out.RowErrors, err)
+				case limit > 0 && p.State.Final():
+					out.Progress[p.Job] = jobs.Progress{Job: p.Job, State: p.State}
+				case limit > 0 && used+size > limit:
+					f.unread.Add(p.Job)
+				default:
+					used += size
+					out.Progress[p.Job] = p
+				}
+			})
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+// progressBytes returns about what the progress of a job takes in memory.
+func progressBytes(p *jobs.Progress) int64 {
+	n := len(p.Done)
+	for _, runs := range p.FailedRuns {
+		n += failedRunBytes + 8*len(runs)
+	}
+	return int64(n)
+}
+
+// Jobs reads single jobs with their progress. The result lacks those that are not stored.
+func (s *Store) Jobs(ctx context.Context, ids []core.JobID) (*Snapshot, error) {
+	out := &Snapshot{Progress: map[core.JobID]jobs.Progress{}}
+	var mu sync.Mutex
+	g, sub := errgroup.WithContext(ctx)
+	g.SetLimit(maxParallelReads)
+	for _, id := range ids {
+		g.Go(func() error {
+			progress, err := s.get(sub, progressKey(id))
+			if err != nil {
+				return err
+			}
+			row, err := s.get(sub, jobKey(id))
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if progress.Version > 0 {
+				out.addProgress(progress)
+			}
+			if row.Version > 0 {
+				out.addJob(row)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// Find returns the stored job that a call repeats, if there is one. A job of another team or
+// queue with the same name is a RefusalError.
+func (s *Store) Find(ctx context.Context, spec jobs.Spec) (stored jobs.Spec, found bool, err error) {
+	row, err := s.get(ctx, jobKey(spec.ID))
+	switch {
+	case err != nil:
+		return jobs.Spec{}, false, err
+	case row.Version > 0:
+		r := (&pendingJob{spec: spec}).resolveConflict(row)
+		return r.spec, r.err == nil, r.err
+	case s.maybeStored(spec.ID):
+		return jobs.Spec{}, false, core.RefuseUnknown(core.CodeStoreUnavailable, nil, "an earlier call may have stored the job")
+	}
+	return jobs.Spec{}, false, nil
+}
+
+// addJob adds a row of the job table, which is a job or a cancellation.
+func (s *Snapshot) addJob(row table.Row) {
+	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
+		s.Cancelled = append(s.Cancelled, core.JobID(id))
+		return
+	}
+	var spec jobs.Spec
+	if err := decode(row, &spec); err != nil {
+		s.RowErrors = append(s.RowErrors, err)
+		return
+	}
+	if string(spec.ID) != row.Name {
+		s.RowErrors = append(s.RowErrors, &table.FormatError{Subject: row.Table + "/" + row.Name, Err: &NameError{string(spec.ID)}})
+		return
+	}
+	if s.filter == nil || s.filter.keep(s, &spec) {
+		s.Specs = append(s.Specs, spec)
+	}
+}
+
+// addProgress adds a row of the progress table.
+func (s *Snapshot) addProgress(row table.Row) {
+	p, err := decodeProgress(row)
+	if err != nil {
+		s.RowErrors = append(s.RowErrors, err)
+		return
+	}
+	s.Progress[p.Job] = p
+}
+
+// decodeProgress decodes a row of the progress table.
+func decodeProgress(row table.Row) (jobs.Progress, error) {
+	var p jobs.Progress
+	if err := decode(row, &p); err != nil {
+		return p, err
+	}
+	if string(p.Job) != row.Name {
+		return p, &table.FormatError{Subject: row.Table + "/" + row.Name, Err: &NameError{string(p.Job)}}
+	}
+	return p, nil
+}
+
+// scan calls add with each row of a range, page by page. It returns the version of the
+// first page, after which the feed holds every change that the scan may have missed.
+func (s *Store) scan(ctx context.Context, in table.Range, add func(table.Row)) (uint64, error) {
+	first := uint64(0)
+	for {
+		p, err := s.client.Read(ctx, in)
+		if err != nil {
+			return 0, err
+		}
+		if first == 0 {
+			first = p.Version
+		}
+		for _, r := range p.Rows {
+			add(r)
+		}
+		if !p.More || len(p.Rows) == 0 {
+			return first, nil
+		}
+		in.From = p.Rows[len(p.Rows)-1].Name + "\x01"
+	}
+}
--- a/io/record/roster_test.go
+++ b/io/record/roster_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
@@ -32,7 +33,7 @@
 		done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x"}, Version: version, Roster: workers})
 		is.NoErr(err)
 		version = done.Version
-		snapshot, err := s.Load(ctx)
+		snapshot, err := s.Load(ctx, budget.New(0, 0))
 		is.NoErr(err)
 		is.Equal(len(snapshot.Roster), count)
 	}
@@ -77,7 +78,7 @@
 	numbers := numbersTo(13000)
 	done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1}, Progress: progress, Roster: rosterOf(numbers...)})
 	is.NoErr(err)
-	snapshot, err := s.Load(ctx)
+	snapshot, err := s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(len(snapshot.Roster), 13000)
 	is.Equal(len(snapshot.Progress), 90)
@@ -86,7 +87,7 @@
 	_, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1, WriteNumber: 2}, Version: done.Version, Roster: rosterOf(append(numbers[1:], 13000)...)})
 	is.NoErr(err)
 	is.True(tbl.written < 4*64<<10)
-	snapshot, err = s.Load(ctx)
+	snapshot, err = s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(len(snapshot.Roster), 13000)
 }
@@ -103,7 +104,7 @@
 	s := startStore(t, tbl)
 	done, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "y", Epoch: 2}, Version: done.Version})
 	is.NoErr(err)
-	_, err = s.Load(ctx)
+	_, err = s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	var kept []int
 	for i := range 6000 {
@@ -116,7 +117,7 @@
 	_, err = s.Write(ctx, write)
 	var unanswered *table.UnansweredError
 	is.True(errors.As(err, &unanswered)) // the ownership record has a new version
-	snapshot, err := s.Load(ctx)
+	snapshot, err := s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	stored := core.NewSet[core.WorkerID]()
 	for _, w := range snapshot.Roster {
@@ -131,7 +132,7 @@
 	write.Version = obs.Version
 	_, err = s.Write(ctx, write)
 	is.NoErr(err)
-	snapshot, err = s.Load(ctx)
+	snapshot, err = s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(len(snapshot.Roster), 4000)
 }
@@ -150,13 +151,13 @@
 			k := table.Key{Table: "fleet", Part: "fleet", Name: row}
 			tbl.rows[k] = table.Row{Key: k, Val: []byte(`{"Pages":"three"}`), Version: tbl.rows[k].Version}
 			s := startStore(t, tbl)
-			snap, err := s.Load(ctx)
+			snap, err := s.Load(ctx, budget.New(0, 0))
 			is.NoErr(err)
 			is.Equal(len(snap.RosterErrors), 1)
 			is.Equal(len(snap.Roster), 150-64)
 			_, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "y", Epoch: 2}, Version: done.Version, Roster: rosterOf(numbersTo(150)...)})
 			is.NoErr(err)
-			snap, err = startStore(t, tbl).Load(ctx)
+			snap, err = startStore(t, tbl).Load(ctx, budget.New(0, 0))
 			is.NoErr(err)
 			is.Equal(len(snap.RosterErrors), 0)
 			is.Equal(len(snap.Roster), 150)
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -10,15 +10,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sync/errgroup"
 
 	"chicoryturn/core"
 	"chicoryturn/core/elect"
@@ -205,131 +201,6 @@
 	return nil
 }
 
-// Snapshot holds the stored state, or the changes to it since a version.
-type Snapshot struct {
-	Specs     []jobs.Spec
-	Progress  map[core.JobID]jobs.Progress
-	Cancelled []core.JobID
-	Roster    []fleet.RosterEntry
-	// RosterErrors holds one error for each row of the roster that could not be decoded.
-	// Earlier owners may have used workers that Roster lacks.
-	RosterErrors []error
-	// Version is the version from which Changes continues.
-	Version uint64
-	// RowErrors holds one error for each row that could not be decoded.
-	RowErrors []error
-}
-
-// Load reads the whole stored state. It reads partitions in parallel. It reads the
-// progress after the jobs, so that a job without progress in the snapshot had none
-// when the job was read.
-func (s *Store) Load(ctx context.Context) (*Snapshot, error) {
-	out := &Snapshot{Progress: map[core.JobID]jobs.Progress{}}
-	var found [jobParts]Snapshot
-	g, sub := errgroup.WithContext(ctx)
-	g.SetLimit(maxParallelReads)
-	for p := range jobParts {
-		g.Go(func() error {
-			var err error
-			found[p].Version, err = s.scan(sub, table.Range{Table: jobTable, Part: partName(p)}, found[p].addJob)
-			return err
-		})
-	}
-	g.Go(func() error {
-		rows, damaged, err := s.roster(sub)
-		out.Roster, out.RosterErrors = slices.Concat(rows...), damaged
-		s.mu.Lock()
-		s.loadedRoster = rows
-		s.mu.Unlock()
-		return err
-	})
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	out.Version = found[0].Version
-	for _, f := range found {
-		out.Specs = append(out.Specs, f.Specs...)
-		out.Cancelled = append(out.Cancelled, f.Cancelled...)
-		out.RowErrors = append(out.RowErrors, f.RowErrors...)
-		out.Version = min(out.Version, f.Version)
-	}
-	var progress [len(progressRangeStarts)]Snapshot
-	g, sub = errgroup.WithContext(ctx)
-	for i, from := range progressRangeStarts {
-		to := ""
-		if i+1 < len(progressRangeStarts) {
-			to = progressRangeStarts[i+1]
-		}
-		progress[i].Progress = map[core.JobID]jobs.Progress{}
-		g.Go(func() error {
-			_, err := s.scan(sub, table.Range{Table: progressTable, Part: fleetPart, From: from, To: to}, progress[i].addProgress)
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	for _, p := range progress {
-		maps.Copy(out.Progress, p.Progress)
-		out.RowErrors = append(out.RowErrors, p.RowErrors...)
-	}
-	return out, nil
-}
-
-// addJob adds a row of the job table, which is a job or a cancellation.
-func (s *Snapshot) addJob(row table.Row) {
-	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
-		s.Cancelled = append(s.Cancelled, core.JobID(id))
-		return
-	}
-	var spec jobs.Spec
-	if err := decode(row, &spec); err != nil {
-		s.RowErrors = append(s.RowErrors, err)
-		return
-	}
-	if string(spec.ID) != row.Name {
-		s.RowErrors = append(s.RowErrors, &table.FormatError{Subject: row.Table + "/" + row.Name, Err: &NameError{string(spec.ID)}})
-		return
-	}
-	s.Specs = append(s.Specs, spec)
-}
-
-// addProgress adds a row of the progress table.
-func (s *Snapshot) addProgress(row table.Row) {
-	var p jobs.Progress
-	if err := decode(row, &p); err != nil {
-		s.RowErrors = append(s.RowErrors, err)
-		return
-	}
-	if string(p.Job) != row.Name {
-		s.RowErrors = append(s.RowErrors, &table.FormatError{Subject: row.Table + "/" + row.Name, Err: &NameError{string(p.Job)}})
-		return
-	}
-	s.Progress[p.Job] = p
-}
-
-// scan calls add with each row of a range, page by page. It returns the version of the
-// first page, after which the feed holds every change that the scan may have missed.
-func (s *Store) scan(ctx context.Context, in table.Range, add func(table.Row)) (uint64, error) {
-	first := uint64(0)
-	for {
-		p, err := s.client.Read(ctx, in)
-		if err != nil {
-			return 0, err
-		}
-		if first == 0 {
-			first = p.Version
-		}
-		for _, r := range p.Rows {
-			add(r)
-		}
-		if !p.More || len(p.Rows) == 0 {
-			return first, nil
-		}
-		in.From = p.Rows[len(p.Rows)-1].Name + "\x01"
-	}
-}
-
 // Changes reads the jobs and cancellations stored after a version. The next call
 // continues from the Version of the result. The owner finds here the jobs of VMs that
 // failed before they notified it.
--- a/io/record/store_test.go
+++ b/io/record/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core"
+	"chicoryturn/core/budget"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
@@ -349,7 +350,7 @@
 	_, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "y", Epoch: 2}, Version: done.Version})
 	is.True(errors.As(err, &conflict))
 
-	snapshot, err := s.Load(ctx)
+	snapshot, err := s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(len(snapshot.Specs), 2)
 	is.Equal(snapshot.Cancelled, []core.JobID{"b"})
@@ -397,7 +398,7 @@
 	is.NoErr(s.Delete(ctx, []core.JobID{"a", "b"}))
 	_, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x"}, Version: done.Version, Deletes: []core.JobID{"a", "b"}})
 	is.NoErr(err)
-	snapshot, err := s.Load(ctx)
+	snapshot, err := s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(len(snapshot.Specs), 1)
 	is.Equal(len(snapshot.Progress), 0)
@@ -419,7 +420,7 @@
 		break
 	}
 	tbl.mu.Unlock()
-	snapshot, err := s.Load(ctx)
+	snapshot, err := s.Load(ctx, budget.New(0, 0))
 	is.NoErr(err)
 	is.Equal(len(snapshot.Specs), 1)
 	is.Equal(len(snapshot.RowErrors), 1)
