--- a/core/model/worker.go
+++ b/core/model/worker.go
@@ -64,6 +64,9 @@
 	// Lost is set if the worker's incarnation ended before the end of the run was
 	// acknowledged, so that no owner can learn of that end.
 	Lost bool
+	// LapsedAt is when the worker's lease first lapsed after the end of the run and before
+	// that end was acknowledged; zero if it did not.
+	LapsedAt time.Time
 }
 
 // Worker is a simulated worker.
@@ -171,6 +174,7 @@
 func (w *Worker) EndFinished() {
 	if w.Clock() > w.leaseUntil {
 		w.LastLapse = w.now
+		w.markLapsed()
 	}
 	var active []*run
 	for _, r := range w.active {
@@ -185,6 +189,17 @@
 	w.active = active
 }
 
+// markLapsed records that the lease has lapsed for the ends that are not acknowledged.
+func (w *Worker) markLapsed() {
+	for _, e := range w.ended {
+		for _, s := range w.Log {
+			if s.Task == e.Task && s.Run == e.Run && s.LapsedAt.IsZero() {
+				s.LapsedAt = w.now
+			}
+		}
+	}
+}
+
 // outcome returns how a run ends now; reason is empty if it does not end.
 func (r *run) outcome(w *Worker, s TaskSpec) (kind fleet.EndKind, reason string) {
 	switch {
