The advisor's answers have a budget of their own

Cause: with the occurrences in one budget, a team's answers (up to 100 workers a request) would have kept its next jobs from being built, in the order of acceptance, also behind jobs that are late already; without a bound they are the largest part of what waiting jobs take. Change: above a twentieth of the limit the answers whose tickets have expired are freed, and asked for again; what is left is bounded by the answers in one lifetime of a ticket. Also: whether a worker may run tasks of an occurrence is looked up once a tick, not once an occurrence.

--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -99,7 +99,7 @@
 	for _, w := range named {
 		a.named.Add(w)
 	}
-	s.built.Charge(p.job.Spec.Team, adviceBytes*int64(len(a.named)-namedBefore))
+	s.advised.Charge(p.job.Spec.Team, adviceBytes*int64(len(a.named)-namedBefore))
 	if namedBefore == 0 {
 		s.learnAllowedShare(p.job.Spec.Queue, len(named), len(allowed))
 	}
@@ -109,6 +109,7 @@
 	if len(allowed) > 0 {
 		a.ticketsUntil = now.Add(ticketTTL)
 	}
+	s.boundAdvice(p.job.Spec.Team)
 	s.needsPlacement = true
 }
 
--- a/core/fleet/memory.go
+++ b/core/fleet/memory.go
@@ -3,25 +3,31 @@
 import (
 	"time"
 
+	"chicoryturn/core"
 	"chicoryturn/core/budget"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
 )
 
-// This file bounds the memory that jobs take. Three budgets, each a part of the process's
+// This file bounds the memory that jobs take. Four budgets, each a part of the process's
 // memory limit, are divided among the teams: for the jobs that have been accepted, which the
-// VMs that accept jobs respect, and for the occurrences and the tasks with a state of their
-// own, which wait here until there is room. The garbage collector lets the heap grow to one
-// and a half times of what is in use, and a tenth of the limit stays free.
+// VMs that accept jobs respect; for the occurrences and the tasks with a state of their own,
+// which wait here until there is room; and for the advisor's answers, which can be asked for
+// again. The garbage collector lets the heap grow to one and a half times of what is in use,
+// and a tenth of the limit stays free.
 
 const (
 	// The budgets are the memory limit over these divisors: for the jobs that have not
-	// ended, for occurrences in memory with the advisor's answers, for tasks with a state
-	// of their own, and for ended jobs.
+	// ended, for occurrences in memory, for tasks with a state of their own, for the
+	// advisor's answers, and for ended jobs.
 	acceptedDivisor = 7
 	builtDivisor    = 14
 	placedDivisor   = 14
+	adviceDivisor   = 20
 	closedDivisor   = 20
+	// adviceInterval is the shortest time between two passes that free a team's answers of
+	// the advisor.
+	adviceInterval = time.Second
 	// closedBytes is what an ended job takes.
 	closedBytes = 1500
 	// phaseBytes and taskBytes are what a built phase and a task with a state of its own
@@ -38,6 +44,7 @@
 	s.accepted.Resize(AcceptedLimit(limit), teams)
 	s.built.Resize(limit/builtDivisor, teams)
 	s.placed.Resize(limit/placedDivisor, teams)
+	s.advised.Resize(limit/adviceDivisor, teams)
 	s.starts.Resize(maxStartsInFlight, teams)
 }
 
@@ -63,6 +70,21 @@
 	return min(maxClosedJobs, int(s.limits.Memory/closedDivisor/closedBytes))
 }
 
+// boundAdvice frees the advisor's answers for the phases of a team whose tickets have expired,
+// if all of them take too much. What is left is bounded by the answers in one lifetime of a
+// ticket.
+func (s *Scheduler) boundAdvice(team core.Team) {
+	if s.advised.Admits(team, 0) || s.now.Sub(s.adviceFreedAt[team]) < adviceInterval {
+		return
+	}
+	s.adviceFreedAt[team] = s.now
+	for p := range s.openPhases {
+		if p.job.Spec.Team == team && p.advice.ticketsUntil.Before(s.now) {
+			p.clearAdvice()
+		}
+	}
+}
+
 // Held returns what the jobs that have not ended take, for the VMs that accept jobs. What a
 // team's parked jobs would take counts for that team alone.
 func (s *Scheduler) Held(now time.Time) *budget.Summary {
@@ -81,9 +103,9 @@
 // MemoryUse is what the jobs of the fleet take of the owner's memory, in bytes.
 type MemoryUse struct {
 	// Accepted is the use by the jobs that have not ended, Built that by occurrences in
-	// memory, and Placed that by tasks with a state of their own; the limits are 0 if there
-	// are none.
-	Accepted, AcceptedLimit, Built, BuiltLimit, Placed, PlacedLimit int64
+	// memory, Placed that by tasks with a state of their own, and Advised that by the
+	// advisor's answers; the limits are 0 if there are none.
+	Accepted, AcceptedLimit, Built, BuiltLimit, Placed, PlacedLimit, Advised, AdvisedLimit int64
 	// Waiting counts the teams of which an occurrence that is due waits for memory,
 	// Parked the stored jobs that are not in memory.
 	Waiting, Parked int
@@ -91,5 +113,5 @@
 
 // MemoryUse returns what the jobs take.
 func (s *Scheduler) MemoryUse() MemoryUse {
-	return MemoryUse{s.accepted.Total(), s.accepted.Limit(), s.built.Total(), s.built.Limit(), s.placed.Total(), s.placed.Limit(), s.teamsWaiting, len(s.parked)}
+	return MemoryUse{s.accepted.Total(), s.accepted.Limit(), s.built.Total(), s.built.Limit(), s.placed.Total(), s.placed.Limit(), s.advised.Total(), s.advised.Limit(), s.teamsWaiting, len(s.parked)}
 }
--- a/core/fleet/memory_test.go
+++ b/core/fleet/memory_test.go
@@ -305,3 +305,44 @@
 	is.True(held.Retry("t", 1000, 0, 0) > 0)
 	is.Equal(held.Retry("u", 1000, 0, 0), time.Duration(0))
 }
+
+// TestAdviceIsBounded guards against owners that exceed their memory limit by the advisor's
+// answers for jobs that wait: those whose tickets have expired are freed, and asked for again.
+func TestAdviceIsBounded(t *testing.T) {
+	is := is.New(t)
+	const phases, named, limit = 2000, 100, 32 << 20
+	f := newLargeFixture(named, newPolicy(core.Resources{}))
+	f.SetLimits(fleet.Limits{Lease: leaseDuration, RemoteFactor: 1, Memory: limit})
+	for i := range phases {
+		spec := newJob(fmt.Sprint("j", i), 1, false)
+		spec.Phases[0].Need.Cores = 1 << 20 // no worker has room
+		f.Accept(f.now, spec)
+	}
+	f.Tick(f.now)
+	f.Decisions()
+	f.Orders()
+	var workers []core.WorkerID
+	for _, w := range f.workers {
+		workers = append(workers, w.ID())
+	}
+	before := heapBytes()
+	peak := int64(0)
+	for i := range phases {
+		var allowed []fleet.AllowedWorker
+		for _, w := range workers[:40] {
+			allowed = append(allowed, fleet.AllowedWorker{Worker: w, Ticket: fmt.Sprintf("ticket of phase %d for %s", i, w)})
+		}
+		f.AdviceReceived(f.now, jobs.PhaseID{Job: core.JobID(fmt.Sprint("j", i))}, workers, allowed, time.Second)
+		f.advance(10 * time.Millisecond)
+		if i%100 == 99 {
+			f.Decisions()
+			taken := heapBytes() - before
+			peak = max(peak, taken)
+			is.True(taken <= f.MemoryUse().Advised)
+		}
+	}
+	// A tenth of the limit, and what 1.1 s bring.
+	t.Logf("at most %d bytes for %d phases", peak, phases)
+	is.True(peak < limit/10)
+	runtime.KeepAlive(f)
+}
--- a/core/fleet/occurrence.go
+++ b/core/fleet/occurrence.go
@@ -44,15 +44,15 @@
 	return o
 }
 
-// build builds an occurrence that is not complete. Unless the job's FirstEpoch excludes
-// it, an earlier owner may have started any of its tasks: its clock may have been ahead.
-// It certainly has if a worker names one of them.
-func (j *Job) build(index int, isNamed bool) *occurrence {
+// build builds an occurrence that is not complete. If mayRun is set, a worker may run any
+// of its tasks unless the job's FirstEpoch excludes it: the clock of an earlier owner may
+// have been ahead.
+func (j *Job) build(index int, mayRun bool) *occurrence {
 	s := j.scheduler
 	o := j.newOccurrence(index)
 	j.occurrences[index] = o
 	s.built.Charge(j.Spec.Team, occurrenceBytes(&j.Spec))
-	if j.mayHaveStarted() && (isNamed || !s.allReported || s.hasUnreportedWorkers()) {
+	if mayRun && j.mayHaveStarted() {
 		for _, p := range o.phases {
 			p.hold()
 		}
@@ -185,16 +185,17 @@
 // The others wait, in the order in which they have become due.
 func (s *Scheduler) buildDue() {
 	s.teamsWaiting = 0
+	mayRun := !s.allReported || s.hasUnreportedWorkers()
 	for _, team := range slices.Sorted(maps.Keys(s.due)) {
-		if !s.buildDueOf(s.due[team]) {
+		if !s.buildDueOf(s.due[team], mayRun) {
 			s.teamsWaiting++
 		}
 	}
 }
 
-// buildDueOf builds the due occurrences of a team. It reports whether there was memory for
-// all of them.
-func (s *Scheduler) buildDueOf(q dueQueue) bool {
+// buildDueOf builds the due occurrences of a team, whose tasks may run on a worker if mayRun
+// is set. It reports whether there was memory for all of them.
+func (s *Scheduler) buildDueOf(q dueQueue, mayRun bool) bool {
 	for {
 		j, ok := q.Min()
 		if !ok || j.nextDue.After(s.now) {
@@ -206,7 +207,7 @@
 				j.logMemoryWait()
 				return false
 			}
-			o = j.build(j.next, false)
+			o = j.build(j.next, mayRun)
 		}
 		q.DeleteMin()
 		if o != nil {
--- a/core/fleet/phase.go
+++ b/core/fleet/phase.go
@@ -110,8 +110,9 @@
 
 // clearAdvice frees the advisor's answers.
 func (p *phase) clearAdvice() {
-	p.job.scheduler.built.Credit(p.job.Spec.Team, adviceBytes*int64(len(p.advice.named)))
-	p.advice = advice{}
+	p.job.scheduler.advised.Credit(p.job.Spec.Team, adviceBytes*int64(len(p.advice.named)))
+	p.advice.named, p.advice.allowed = nil, nil
+	p.advice.received, p.advice.ticketsUntil = false, time.Time{}
 }
 
 // sortedTasks returns the tasks with a state of their own in order of their index.
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -78,8 +78,11 @@
 	// due holds the jobs with occurrences that have not been built in their turn.
 	due map[core.Team]dueQueue
 	// accepted counts the bytes of the jobs that have not ended, built those of the
-	// occurrences in memory, placed those of the tasks with a state of their own.
-	accepted, built, placed *budget.Budget
+	// occurrences in memory, placed those of the tasks with a state of their own, and
+	// advised those of the advisor's answers, which for a team were last freed at
+	// adviceFreedAt.
+	accepted, built, placed, advised *budget.Budget
+	adviceFreedAt                    map[core.Team]time.Time
 	// parked holds the jobs for which there is no memory, parkedOf those of each team and
 	// parkedBytes what they would take. urgentParked are those that are read whether there
 	// is room or not, since they are cancelled or a worker has named their runs.
@@ -216,7 +219,7 @@
 	s := &Scheduler{
 		epoch: epoch, recoverBefore: epoch, now: now, earlierLeasesEnd: now.Add(maxOverlap + onSlowestClock(maxLease+leaseSlack)), allReported: epoch <= 1, limits: limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
-		openPhases: map[*phase]struct{}{}, heldPhases: map[*phase]struct{}{}, due: map[core.Team]dueQueue{}, accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), starts: budget.New(0, 0), startTeams: map[startID]core.Team{}, parked: map[core.JobID]*parkedJob{}, parkedOf: map[core.Team]parkedQueue{}, parkedBytes: map[core.Team]int64{}, urgentParked: core.Set[core.JobID]{},
+		openPhases: map[*phase]struct{}{}, heldPhases: map[*phase]struct{}{}, due: map[core.Team]dueQueue{}, accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), advised: budget.New(0, 0), adviceFreedAt: map[core.Team]time.Time{}, starts: budget.New(0, 0), startTeams: map[startID]core.Team{}, parked: map[core.JobID]*parkedJob{}, parkedOf: map[core.Team]parkedQueue{}, parkedBytes: map[core.Team]int64{}, urgentParked: core.Set[core.JobID]{},
 		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{}, unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, dirty: map[core.JobID]*Job{},
 	}
 	s.resizeBudgets()
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -43,8 +43,8 @@
 // Memory sets what the jobs of the fleet take of the owner's memory.
 func (meter) Memory(use fleet.MemoryUse) {
 	for name, n := range map[string]int64{
-		`chicoryturn_jobs_bytes{part="accepted"}`: use.Accepted, `chicoryturn_jobs_bytes{part="built"}`: use.Built, `chicoryturn_jobs_bytes{part="placed"}`: use.Placed,
-		`chicoryturn_jobs_limit_bytes{part="accepted"}`: use.AcceptedLimit, `chicoryturn_jobs_limit_bytes{part="built"}`: use.BuiltLimit, `chicoryturn_jobs_limit_bytes{part="placed"}`: use.PlacedLimit,
+		`chicoryturn_jobs_bytes{part="accepted"}`: use.Accepted, `chicoryturn_jobs_bytes{part="built"}`: use.Built, `chicoryturn_jobs_bytes{part="placed"}`: use.Placed, `chicoryturn_jobs_bytes{part="advice"}`: use.Advised,
+		`chicoryturn_jobs_limit_bytes{part="accepted"}`: use.AcceptedLimit, `chicoryturn_jobs_limit_bytes{part="built"}`: use.BuiltLimit, `chicoryturn_jobs_limit_bytes{part="placed"}`: use.PlacedLimit, `chicoryturn_jobs_limit_bytes{part="advice"}`: use.AdvisedLimit,
 		"chicoryturn_jobs_parked": int64(use.Parked), "chicoryturn_teams_waiting_for_memory": int64(use.Waiting),
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(float64(n))
