Bodies of submissions in process are bounded

What callers would have seen: a VM that ends for its memory, and every submission on it broken off. Cause: each body was read as a whole, whatever others took and however long it took to arrive; 900 connections with bodies of 250 KB that lacked their last byte ended a VM of 184 MB.

--- a/io/entry/door.go
+++ b/io/entry/door.go
@@ -13,6 +13,10 @@
 	"chicoryturn/core/jobs"
 )
 
+// bodiesDivisor is the part of the memory limit, as its divisor, for the bodies that are being
+// processed. Decoded and encoded again, they take about three times as much.
+const bodiesDivisor = 16
+
 // door shares a VM's decisions on which jobs are admitted among its traffic goroutines.
 type door struct {
 	mu        sync.Mutex
@@ -25,10 +29,26 @@
 	return d.decisions.Admit(spec.Team, spec.Bytes())
 }
 
-// WithMemory sets the memory limit of the process in bytes, which bounds the accepted jobs
-// until an owner tells what it holds.
+// WithMemory sets the memory limit of the process in bytes. It bounds the bodies that are
+// being processed, and the accepted jobs until an owner tells what it holds.
 func WithMemory(limit int64) Option {
-	return func(e *Entry) { e.door.decisions = budget.NewDoor(fleet.AcceptedLimit(limit)) }
+	return func(e *Entry) {
+		e.door.decisions = budget.NewDoor(fleet.AcceptedLimit(limit))
+		e.maxBodies = limit / bodiesDivisor
+	}
+}
+
+// ReserveBody reserves memory for the body of a submission until release is called. It
+// refuses the submission if too many bodies are being processed: those that the store keeps
+// waiting hold their memory, too.
+func (e *Entry) ReserveBody(bytes int64) (release func(), err error) {
+	if held := e.bodies.Add(bytes); e.maxBodies > 0 && held > e.maxBodies {
+		e.bodies.Add(-bytes)
+		r := core.Refuse(core.CodeBusy, "the submissions in process take %d bytes", held-bytes)
+		r.RetryAfter = clientRetryAfter
+		return nil, r
+	}
+	return func() { e.bodies.Add(-bytes) }, nil
 }
 
 // SetRecord updates what the VM knows of the memory that accepted jobs take, from a new
--- a/io/entry/door_test.go
+++ b/io/entry/door_test.go
@@ -13,6 +13,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/io/entry"
 )
 
 // TestOverBudget guards against a team whose jobs take all of the owner's memory (review/1):
@@ -60,3 +61,25 @@
 	spec.Phases[0].Count++
 	is.Equal(code(e.Submit(context.Background(), spec)), core.CodeTooLarge)
 }
+
+// TestBodies guards against submissions that arrive faster than they are processed: above a
+// part of the memory limit, further ones are refused, until others are done.
+func TestBodies(t *testing.T) {
+	is := is.New(t)
+	const limit, body = 16 << 20, 100 << 10
+	deps := &fakeDeps{}
+	e := newEntry(deps, entry.WithMemory(limit))
+	var releases []func()
+	for {
+		release, err := e.ReserveBody(body)
+		if err != nil {
+			is.Equal(code(err), core.CodeBusy)
+			break
+		}
+		releases = append(releases, release)
+	}
+	is.Equal(len(releases), limit/16/body)
+	releases[0]()
+	_, err := e.ReserveBody(body)
+	is.NoErr(err)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -102,7 +102,11 @@
 	// firstEpoch is the epoch of the first owner that may start a job accepted now.
 	firstEpoch atomic.Uint64
 	door       door
-	draining   atomic.Bool
+	// bodies are the bytes of the bodies that are being processed, at most maxBodies; 0
+	// means no limit.
+	bodies    atomic.Int64
+	maxBodies int64
+	draining  atomic.Bool
 	// inFlight counts the calls that have not been answered.
 	inFlight atomic.Int64
 }
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -99,10 +99,10 @@
 
 func (d *fakeDeps) Call(string, string, time.Duration) {}
 
-func newEntry(deps *fakeDeps) *entry.Entry {
+func newEntry(deps *fakeDeps, opts ...entry.Option) *entry.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return entry.New(fakeRecords{deps}, deps, deps, deps, log.WithField("part", "entry"))
+	return entry.New(fakeRecords{deps}, deps, deps, deps, log.WithField("part", "entry"), opts...)
 }
 
 // newPolicy returns a configuration with a team that has one key.
