Refused calls look for a stored job, and a flood of them reads little

Cause: a call refused for want of room for its body was told that its job never runs, also if an earlier call had stored it; and each call refused for the memory of accepted jobs read the store, of which a flood could take all reads.

TestBodies, TestOverBudget.

--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -254,6 +254,8 @@
 	s.needsPlacement = true
 }
 
+func (s *Scheduler) logDecision(d Decision) { s.decisions = append(s.decisions, d) }
+
 // Decisions returns the decisions since the last call and clears them.
 func (s *Scheduler) Decisions() []Decision {
 	out := s.decisions
--- a/io/entry/door.go
+++ b/io/entry/door.go
@@ -17,6 +17,9 @@
 // processed. Decoded and encoded again, they take about three times as much.
 const bodiesDivisor = 16
 
+// maxFinds bounds the reads that look at the same time for jobs of refused calls.
+const maxFinds = 4
+
 // door shares a VM's decisions on which jobs are admitted among its traffic goroutines.
 type door struct {
 	mu        sync.Mutex
@@ -38,17 +41,19 @@
 	}
 }
 
-// ReserveBody reserves memory for the body of a submission until release is called. It
-// refuses the submission if too many bodies are being processed: those that the store keeps
-// waiting hold their memory, too.
-func (e *Entry) ReserveBody(bytes int64) (release func(), err error) {
-	if held := e.bodies.Add(bytes); e.maxBodies > 0 && held > e.maxBodies {
-		e.bodies.Add(-bytes)
-		r := core.Refuse(core.CodeBusy, "the submissions in process take %d bytes", held-bytes)
-		r.RetryAfter = clientRetryAfter
-		return nil, r
+// ReserveBody reserves memory for the body of a submission until release is called. If too
+// many bodies are being processed, it refuses the submission, or reports that the job is
+// stored already. Bodies that the store keeps waiting hold their memory, too.
+func (e *Entry) ReserveBody(ctx context.Context, spec jobs.Spec, bytes int64) (release func(), stored bool, err error) {
+	held := e.bodies.Add(bytes)
+	if e.maxBodies == 0 || held <= e.maxBodies {
+		return func() { e.bodies.Add(-bytes) }, false, nil
 	}
-	return func() { e.bodies.Add(-bytes) }, nil
+	e.bodies.Add(-bytes)
+	r := core.Refuse(core.CodeBusy, "the submissions in process take %d bytes", held-bytes)
+	r.RetryAfter = clientRetryAfter
+	err = e.track("submit", spec.ID, func() (string, error) { return e.refuseUnlessStored(ctx, spec, r) })
+	return nil, err == nil, err
 }
 
 // SetRecord updates what the VM knows of the memory that accepted jobs take, from a new
@@ -59,21 +64,36 @@
 	e.door.decisions.Observe(rec.Held)
 }
 
-// refuseOverBudget refuses a job for which the fleet has no memory, unless it has been
-// stored by an earlier call.
+// refuseOverBudget refuses a job for which the fleet has no memory until the time retry has
+// passed, unless it has been stored by an earlier call.
 func (e *Entry) refuseOverBudget(ctx context.Context, spec jobs.Spec, retry time.Duration) (string, error) {
+	r := core.Refuse(core.CodeOverLimit, "the accepted jobs of team %s take as much memory as it may use", spec.Team)
+	r.RetryAfter = retry
+	return e.refuseUnlessStored(ctx, spec, r)
+}
+
+// refuseUnlessStored returns a refusal unless the job has been stored by an earlier call. It
+// limits the reads of a flood of refused calls, which others need, too.
+func (e *Entry) refuseUnlessStored(ctx context.Context, spec jobs.Spec, r *core.RefusalError) (string, error) {
+	unknown := func(err error) error {
+		return core.RefuseUnknown(core.CodeStoreUnavailable, err, "the store does not tell whether an earlier call has stored the job")
+	}
+	select {
+	case e.finds <- struct{}{}:
+		defer func() { <-e.finds }()
+	case <-ctx.Done():
+		return "", unknown(ctx.Err())
+	}
 	stored, found, err := e.records.Find(ctx, spec)
 	var refusal *core.RefusalError
 	switch {
 	case errors.As(err, &refusal):
 		return "", err
 	case err != nil:
-		return "", core.RefuseUnknown(core.CodeStoreUnavailable, err, "the store does not tell whether an earlier call has stored the job")
+		return "", unknown(err)
 	case found:
 		e.link.JobAccepted(stored, false)
 		return "accepted", nil
 	}
-	r := core.Refuse(core.CodeOverLimit, "the accepted jobs of team %s take as much memory as it may use", spec.Team)
-	r.RetryAfter = retry
 	return "", r
 }
--- a/io/entry/door_test.go
+++ b/io/entry/door_test.go
@@ -67,19 +67,28 @@
 func TestBodies(t *testing.T) {
 	is := is.New(t)
 	const limit, body = 16 << 20, 100 << 10
-	deps := &fakeDeps{}
+	ctx := context.Background()
+	deps := &fakeDeps{accepted: []core.JobID{"stored"}}
 	e := newEntry(deps, entry.WithMemory(limit))
+	reserve := func(id string) (func(), bool, error) {
+		return e.ReserveBody(ctx, jobs.Spec{ID: core.JobID(id), Team: "t", Queue: "q"}, body)
+	}
 	var releases []func()
 	for {
-		release, err := e.ReserveBody(body)
+		release, stored, err := reserve("a")
 		if err != nil {
 			is.Equal(code(err), core.CodeBusy)
 			break
 		}
+		is.True(!stored)
 		releases = append(releases, release)
 	}
 	is.Equal(len(releases), limit/16/body)
+	_, stored, err := reserve("stored")
+	is.NoErr(err)
+	is.True(stored)
 	releases[0]()
-	_, err := e.ReserveBody(body)
+	_, stored, err = reserve("a")
 	is.NoErr(err)
+	is.True(!stored)
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -106,7 +106,9 @@
 	// means no limit.
 	bodies    atomic.Int64
 	maxBodies int64
-	draining  atomic.Bool
+	// finds holds a value for each read of refuseUnlessStored.
+	finds    chan struct{}
+	draining atomic.Bool
 	// inFlight counts the calls that have not been answered.
 	inFlight atomic.Int64
 }
@@ -136,7 +138,7 @@
 // New returns an entry without a configuration. Authorize refuses all calls until
 // SetPolicy is called.
 func New(records RecordStore, link OwnerLink, advisor Advisor, meter Meter, log *logrus.Entry, opts ...Option) *Entry {
-	e := &Entry{records: records, link: link, advisor: advisor, meter: meter, log: log, confirmation: newConfirmation(clock.BootTime)}
+	e := &Entry{records: records, link: link, advisor: advisor, meter: meter, log: log, confirmation: newConfirmation(clock.BootTime), finds: make(chan struct{}, maxFinds)}
 	e.door.decisions = budget.NewDoor(0)
 	for _, o := range opts {
 		o(e)
