A run whose listed end waits for an unknown job has not vanished

What callers would have seen: a task that ran twice after a change of owner. Cause: a worker's ends are handled in order, and one of a job that the owner has not read makes those behind it wait, up to 5 s; reconcileActive took the runs of these for vanished and freed their tasks, which started again. Change: a run whose end is listed and not handled yet is left alone.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -195,8 +195,17 @@
 			w.orphanFound(t, a)
 		}
 	}
+	// An end that waits for an unknown job before it is not handled yet.
+	endsWaiting := make(map[runID]struct{})
+	for _, e := range l.Ended {
+		if e.Number > w.handledEnd {
+			endsWaiting[runID{e.Task, e.Run}] = struct{}{}
+		}
+	}
 	for _, t := range w.sortedTasks() {
-		if _, ok := listed[runID{t.ID(), t.run}]; !ok {
+		id := runID{t.ID(), t.run}
+		_, isActive := listed[id]
+		if _, hasEnded := endsWaiting[id]; !isActive && !hasEnded {
 			t.runNotListed(sentAt, len(l.Ended))
 		}
 	}
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -256,6 +256,39 @@
 	is.Equal(state, jobs.Completed)
 }
 
+// TestEndBehindUnknownJob guards against a second run of a task whose end a worker lists
+// behind that of a job that a new owner has not read yet: the end has not been handled, but
+// the run has not vanished either.
+func TestEndBehindUnknownJob(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 2)
+	f.takeOver(f.workers)
+	f.SetWorkers(f.now, f.list(f.workers))
+	f.RosterStored(f.Roster())
+	run := fleet.ActiveRun{Task: newTaskID("j", 0), Run: 1}
+	f.heartbeat(f.workers[0], []fleet.ActiveRun{run}, nil)
+	f.heartbeat(f.workers[1], nil, nil)
+	ends := []fleet.EndedRun{
+		{Number: 1, Task: newTaskID("unknown", 0), Run: 1, Kind: fleet.EndDone, Reason: "done"},
+		{Number: 2, Task: run.Task, Run: run.Run, Kind: fleet.EndDone, Reason: "done"},
+	}
+	for range 10 {
+		f.advance(100 * time.Millisecond)
+		f.heartbeat(f.workers[0], nil, ends)
+		f.heartbeat(f.workers[1], nil, nil)
+		is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+	}
+	f.Accept(f.now, newJob("unknown", 1, false))
+	f.heartbeat(f.workers[0], nil, ends)
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+	f.Batch()
+	f.BatchStored(f.now)
+	for _, id := range []core.JobID{"j", "unknown"} {
+		state, _ := f.State(id)
+		is.Equal(state, jobs.Completed)
+	}
+}
+
 // TestRunOfUnknownJob checks that a task is not started again if a worker reports its run
 // to a new owner before the owner has read the job.
 func TestRunOfUnknownJob(t *testing.T) {
