A load reads the jobs before their progress again

Not traced to the call; the estimate of the reads' time-out begins with the first reads of the load, which were the largest. Change: the former order. What the progress tells is applied afterwards: a load keeps jobs up to twice the budget, since some have ended, and the scheduler parks what does not fit; a parked job that has ended is read at once, so that its rows are deleted in time.

TestLoadParksJobs, TestLoadDropsEnded, TestLoadParksWhatDoesNotFit, TestEndedParkedJob.

--- a/core/fleet/memory_test.go
+++ b/core/fleet/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,6 +201,7 @@
 	}
 	f.Park(f.now, stubs)
 	is.True(f.MemoryUse().Parked > 300)
+	is.True(slices.ContainsFunc(f.Decisions(), func(d fleet.Decision) bool { return d.Job == "now0" && d.Event == "waits" }))
 	is.Equal(f.Pending()["q"], 600)
 	other := newJob("other", 1, false)
 	other.Team = "u"
@@ -346,3 +348,35 @@
 	is.True(peak < limit/10)
 	runtime.KeepAlive(f)
 }
+
+// TestEndedParkedJob checks that a parked job that has ended is read, so that its rows are
+// deleted in time, and runs nothing.
+func TestEndedParkedJob(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 1).withMemory(smallMemory)
+	f.registerWorkers()
+	spec := newJob("j", 1, false)
+	stub := fleet.NewStub(&spec)
+	stub.Started, stub.Ended = true, true
+	f.Park(f.now, []fleet.Stub{stub})
+	n := f.readParked(map[core.JobID]jobs.Spec{"j": spec}, map[core.JobID]jobs.Progress{"j": {Job: "j", State: jobs.Completed}})
+	is.Equal(n, 1)
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+	f.advance(time.Minute)
+	is.Equal(f.ForgetExpired(f.now, time.Second, 10), []core.JobID{"j"})
+}
+
+// TestLoadParksWhatDoesNotFit checks that a scheduler keeps no more of a load than fits.
+func TestLoadParksWhatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 1).withMemory(2 << 20)
+	var specs []jobs.Spec
+	for i := range 500 {
+		specs = append(specs, newJob(fmt.Sprint("j", i), 1, false))
+	}
+	f.Load(f.now, specs, nil)
+	use := f.MemoryUse()
+	is.True(use.Accepted <= use.AcceptedLimit)
+	is.True(use.Parked > 0)
+	is.Equal(f.Pending()["q"], 500)
+}
--- a/core/fleet/parked.go
+++ b/core/fleet/parked.go
@@ -21,6 +21,10 @@
 	maxReadJobs = 64
 	// parkMargin is how long before it is due a parked job is read.
 	parkMargin = time.Minute
+	// maxParkedLogged bounds the jobs of one load that are logged as parked.
+	maxParkedLogged = 200
+	// parkedReason says what a parked job waits for.
+	parkedReason = "the owner has no memory for the job, or it is far from due: parked"
 )
 
 // Stub is what the owner keeps of a parked job. It is immutable.
@@ -34,8 +38,8 @@
 	Bytes int64
 	// FirstEpoch is the epoch of the first owner that may start tasks of the job.
 	FirstEpoch core.Epoch
-	// Started is set if progress of the job is stored.
-	Started bool
+	// Started is set if progress of the job is stored, Ended if its end is.
+	Started, Ended bool
 }
 
 // NewStub returns the stub of a job of which no progress is stored.
@@ -62,13 +66,24 @@
 // Park adds stored jobs for which there is no memory. It ignores the jobs that are known.
 func (s *Scheduler) Park(now time.Time, stubs []Stub) {
 	s.now = now
-	for _, stub := range stubs {
-		if s.jobs[stub.ID] == nil && s.parked[stub.ID] == nil && !s.isForLaterOwner(stub.FirstEpoch) {
-			s.park(&parkedJob{Stub: stub})
+	for i, stub := range stubs {
+		if s.jobs[stub.ID] != nil || s.parked[stub.ID] != nil || s.isForLaterOwner(stub.FirstEpoch) {
+			continue
+		}
+		s.park(&parkedJob{Stub: stub})
+		switch {
+		case stub.Ended:
+			s.urgentParked.Add(stub.ID)
+		case i < maxParkedLogged:
+			s.logParked(stub.ID)
 		}
 	}
 }
 
+func (s *Scheduler) logParked(id core.JobID) {
+	s.logDecision(Decision{Job: id, Event: "waits", Reason: parkedReason})
+}
+
 func (s *Scheduler) park(p *parkedJob) {
 	s.parked[p.ID] = p
 	q, ok := s.parkedOf[p.Team]
@@ -156,6 +171,7 @@
 	stub := NewStub(&j.Spec)
 	stub.Due, stub.Started = j.nextDue, len(j.progress.Done) > 0
 	s.park(&parkedJob{Stub: stub})
+	s.logParked(stub.ID)
 	return true
 }
 
@@ -178,7 +194,7 @@
 	if err != nil {
 		return
 	}
-	s.Load(now, specs, progress)
+	s.load(specs, progress, true)
 	for _, id := range ids {
 		if p := s.parked[id]; p != nil {
 			s.unpark(p)
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -293,6 +293,7 @@
 	}
 	if !s.accepted.AdmitsOne(spec.Team, spec.Bytes()) {
 		s.park(&parkedJob{Stub: NewStub(&spec)})
+		s.logParked(spec.ID)
 		return true
 	}
 	j := s.add(spec)
@@ -326,9 +327,14 @@
 }
 
 // Load adds the stored jobs with their progress. Tasks that an earlier owner
-// may have started may still be running.
+// may have started may still be running. It parks the jobs for which there is no memory.
 func (s *Scheduler) Load(now time.Time, specs []jobs.Spec, progress map[core.JobID]jobs.Progress) {
 	s.now = now
+	s.load(specs, progress, false)
+}
+
+// load is Load; if holdAll is set, it parks no job.
+func (s *Scheduler) load(specs []jobs.Spec, progress map[core.JobID]jobs.Progress, holdAll bool) {
 	slices.SortFunc(specs, func(x, y jobs.Spec) int { return x.Accepted.Compare(y.Accepted) })
 	for _, spec := range specs {
 		recorded := progress[spec.ID]
@@ -340,11 +346,20 @@
 			cancelled = p.cancelled
 			s.unpark(p)
 		}
+		if !holdAll && !recorded.State.Final() && !s.accepted.AdmitsOne(spec.Team, spec.Bytes()) {
+			stub := NewStub(&spec)
+			stub.Started = recorded.Job != ""
+			s.park(&parkedJob{Stub: stub, cancelled: cancelled})
+			if cancelled {
+				s.urgentParked.Add(spec.ID)
+			}
+			continue
+		}
 		j := s.add(spec)
 		j.restore(&recorded)
 		if j.state == jobClosed {
 			j.shrink()
-			s.closed = append(s.closed, closedJob{j.Spec.ID, now})
+			s.closed = append(s.closed, closedJob{j.Spec.ID, s.now})
 			continue
 		}
 		s.adoptUnknownRuns(j)
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -31,6 +31,10 @@
 // transaction, which include the ownership record and the roster.
 const maxProgressRows = 80
 
+// loadFactor multiplies the memory for jobs in a load, as some of those that are read have
+// ended. The scheduler keeps what fits.
+const loadFactor = 2
+
 // reloadDivisor divides the memory for jobs in a load beside a scheduler, which has most of
 // them already.
 const reloadDivisor = 4
@@ -265,7 +269,7 @@
 	o.snapshotLoadInFlight = true
 	current, _ := o.election.Record()
 	epoch := current.Epoch
-	memory := o.limits.Memory
+	memory := loadFactor * o.limits.Memory
 	if o.scheduler != nil {
 		// The jobs that the scheduler has are read again, and dropped.
 		memory /= reloadDivisor
--- a/io/record/load.go
+++ b/io/record/load.go
@@ -39,48 +39,29 @@
 	filter *filter
 }
 
-// filter keeps the jobs of a load that fit into memory.
+// filter keeps the jobs of a load that fit into memory, and parks the others.
 type filter struct {
-	progress map[core.JobID]jobs.Progress
-	// unread holds the jobs whose progress does not fit into memory.
-	unread core.Set[core.JobID]
-
 	mu     sync.Mutex
 	budget *budget.Budget
 }
 
-// keep reports whether a job is kept. It parks any other job.
 func (f *filter) keep(s *Snapshot, spec *jobs.Spec) bool {
-	recorded, started := f.progress[spec.ID]
-	switch {
-	case f.budget.Limit() == 0:
-		return true
-	case recorded.State.Final():
-		spec.Payload = ""
-		return true
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if bytes := spec.Bytes(); !f.unread.Has(spec.ID) && f.budget.AdmitsOne(spec.Team, bytes) {
+	if bytes := spec.Bytes(); f.budget.AdmitsOne(spec.Team, bytes) {
 		f.budget.Charge(spec.Team, bytes)
 		return true
 	}
-	stub := fleet.NewStub(spec)
-	stub.Started = started || f.unread.Has(spec.ID)
-	s.Parked = append(s.Parked, stub)
+	s.Parked = append(s.Parked, fleet.NewStub(spec))
 	return false
 }
 
-// Load reads the whole stored state. It reads partitions in parallel. It charges the jobs
-// that have not ended to a budget and parks those that it does not admit. It reads the
-// progress first, which only the owner writes: a job that is accepted later has none.
+// Load reads the whole stored state. It reads partitions in parallel. It charges the jobs to
+// a budget and parks those that it does not admit. It reads the progress after the jobs, so
+// that a job without progress in the snapshot had none when the job was read.
 func (s *Store) Load(ctx context.Context, b *budget.Budget) (*Snapshot, error) {
 	out := &Snapshot{Progress: map[core.JobID]jobs.Progress{}}
-	f := &filter{unread: core.Set[core.JobID]{}, budget: b}
-	if err := s.loadProgress(ctx, out, f, b.Limit()); err != nil {
-		return nil, err
-	}
-	f.progress = out.Progress
+	f := &filter{budget: b}
 	found := make([]Snapshot, jobParts)
 	g, sub := errgroup.WithContext(ctx)
 	g.SetLimit(maxParallelReads)
@@ -111,17 +92,43 @@
 		out.RowErrors = append(out.RowErrors, p.RowErrors...)
 		out.Version = min(out.Version, p.Version)
 	}
-	for _, stub := range out.Parked {
-		delete(out.Progress, stub.ID)
+	unread, err := s.loadProgress(ctx, out, b.Limit())
+	if err != nil {
+		return nil, err
 	}
+	out.applyProgress(unread, b.Limit() > 0)
 	return out, nil
 }
 
+// applyProgress parks the jobs whose progress is unread, marks the parked ones that have
+// begun or ended, and, if memory is limited, drops what an ended job no longer needs.
+func (s *Snapshot) applyProgress(unread core.Set[core.JobID], limited bool) {
+	s.Specs = slices.DeleteFunc(s.Specs, func(spec jobs.Spec) bool {
+		if unread.Has(spec.ID) {
+			s.Parked = append(s.Parked, fleet.NewStub(&spec))
+		}
+		return unread.Has(spec.ID)
+	})
+	for i, spec := range s.Specs {
+		if limited && s.Progress[spec.ID].State.Final() {
+			s.Specs[i].Payload = ""
+		}
+	}
+	for i, stub := range s.Parked {
+		recorded, started := s.Progress[stub.ID]
+		s.Parked[i].Started = started || unread.Has(stub.ID)
+		s.Parked[i].Ended = recorded.State.Final()
+		delete(s.Progress, stub.ID)
+	}
+}
+
 // loadProgress reads the progress of all jobs. That of jobs that have not ended takes at
-// most limit bytes, 0 for any number; the others are in f.unread.
-func (s *Store) loadProgress(ctx context.Context, out *Snapshot, f *filter, limit int64) error {
+// most limit bytes, 0 for any number; the others are in unread. Of jobs that have ended it
+// keeps the state alone, if there is a limit.
+func (s *Store) loadProgress(ctx context.Context, out *Snapshot, limit int64) (unread core.Set[core.JobID], err error) {
 	var mu sync.Mutex
 	used := int64(0)
+	unread = core.Set[core.JobID]{}
 	g, sub := errgroup.WithContext(ctx)
 	for i, from := range progressRangeStarts {
 		to := ""
@@ -139,7 +146,7 @@
 				case limit > 0 && p.State.Final():
 					out.Progress[p.Job] = jobs.Progress{Job: p.Job, State: p.State}
 				case limit > 0 && used+size > limit:
-					f.unread.Add(p.Job)
+					unread.Add(p.Job)
 				default:
 					used += size
 					out.Progress[p.Job] = p
@@ -148,7 +155,7 @@
 			return err
 		})
 	}
-	return g.Wait()
+	return unread, g.Wait()
 }
 
 // progressBytes returns about what the progress of a job takes in memory.
