--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -217,10 +217,17 @@
 // New returns a scheduler without jobs and workers for a new owner's epoch.
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Scheduler {
 	s := &Scheduler{
-		epoch: epoch, recoverBefore: epoch, now: now, earlierLeasesEnd: now.Add(maxOverlap + onSlowestClock(maxLease+leaseSlack)), allReported: epoch <= 1, limits: limits.bounded(), policy: p, estimator: cell.NewEstimator(),
+		epoch: epoch, recoverBefore: epoch, now: now, allReported: epoch <= 1,
+		earlierLeasesEnd: now.Add(maxOverlap + onSlowestClock(maxLease+leaseSlack)),
+		limits:           limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
-		openPhases: map[*phase]struct{}{}, heldPhases: map[*phase]struct{}{}, due: map[core.Team]dueQueue{}, accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), advised: budget.New(0, 0), adviceFreedAt: map[core.Team]time.Time{}, starts: budget.New(0, 0), startTeams: map[startID]core.Team{}, parked: map[core.JobID]*parkedJob{}, parkedOf: map[core.Team]parkedQueue{}, parkedBytes: map[core.Team]int64{}, urgentParked: core.Set[core.JobID]{},
-		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{}, unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, dirty: map[core.JobID]*Job{},
+		openPhases: map[*phase]struct{}{}, due: map[core.Team]dueQueue{},
+		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{},
+		unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, heldPhases: map[*phase]struct{}{},
+		accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), advised: budget.New(0, 0),
+		adviceFreedAt: map[core.Team]time.Time{}, starts: budget.New(0, 0), startTeams: map[startID]core.Team{},
+		parked: map[core.JobID]*parkedJob{}, parkedOf: map[core.Team]parkedQueue{}, parkedBytes: map[core.Team]int64{},
+		urgentParked: core.Set[core.JobID]{}, dirty: map[core.JobID]*Job{},
 	}
 	s.resizeBudgets()
 	for _, o := range opts {
