A team's flood at one VM leaves room for the others there

Cause: what one VM admits between two summaries, and the memory for bodies in process, were first come first served: a flood of one team at a VM had other teams' submissions refused there for a second at a time. Change: each team has its part of both, as of the other budgets.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -124,6 +124,9 @@
 		}
 	}
 	is.Equal(admit(), int64(most))
+	// Another team has a part of its own.
+	_, other := d.Admit("b", 1024)
+	is.True(other)
 	// The next summary may lack all of it, the one after that does not.
 	quiet := &budget.Summary{Rest: mebibyte / 2, Own: own}
 	d.Observe(quiet)
--- a/core/budget/door.go
+++ b/core/budget/door.go
@@ -6,13 +6,13 @@
 	"chicoryturn/core"
 )
 
-// doorDivisor is the part of the shared bytes, as its divisor, that one VM admits before it has seen
-// another summary.
+// doorDivisor is the part of the shared bytes, and of each team's own, as its divisor, that one
+// VM admits before it has seen another summary.
 const doorDivisor = 8
 
 // Door decides on one VM which jobs are admitted. It knows the owner's last summary and what
 // the VM itself has admitted since; what other VMs have admitted since then it does not
-// know, so that all VMs together may pass the limit, each by an eighth of what is shared.
+// know, so that all VMs together may pass the limit, each by an eighth of it.
 type Door struct {
 	summary *Summary
 	// initial is used until there is a summary; nil bounds nothing.
@@ -47,11 +47,11 @@
 		s = d.initial
 	}
 	if s != nil {
-		added := d.recent.total + d.earlier.total
-		if added+bytes > s.Rest/doorDivisor {
+		added, addedTeam := d.recent.total+d.earlier.total, d.recent.teams[team]+d.earlier.teams[team]
+		if added+bytes > s.Rest/doorDivisor && addedTeam+bytes > s.Own/doorDivisor {
 			return MinRetry, false
 		}
-		if retry := s.Retry(team, bytes, d.recent.teams[team]+d.earlier.teams[team], added); retry > 0 {
+		if retry := s.Retry(team, bytes, addedTeam, added); retry > 0 {
 			return retry, false
 		}
 	}
--- a/io/entry/door.go
+++ b/io/entry/door.go
@@ -24,6 +24,34 @@
 type door struct {
 	mu        sync.Mutex
 	decisions *budget.Door
+	// bodies counts the bytes of the bodies that are being processed, at most maxBodies; 0
+	// means no limit.
+	bodies    *budget.Budget
+	maxBodies int64
+}
+
+// reserve reports whether there is memory for a body of a team, and reserves it.
+func (d *door) reserve(team core.Team, bytes int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.bodies.AdmitsOne(team, bytes) {
+		return false
+	}
+	d.bodies.Charge(team, bytes)
+	return true
+}
+
+func (d *door) release(team core.Team, bytes int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bodies.Credit(team, bytes)
+}
+
+// setTeams divides the memory for bodies among a number of teams.
+func (d *door) setTeams(teams int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bodies.Resize(d.maxBodies, teams)
 }
 
 func (d *door) admit(spec *jobs.Spec) (retry time.Duration, ok bool) {
@@ -37,20 +65,19 @@
 func WithMemory(limit int64) Option {
 	return func(e *Entry) {
 		e.door.decisions = budget.NewDoor(fleet.AcceptedLimit(limit))
-		e.maxBodies = limit / bodiesDivisor
+		e.door.maxBodies = limit / bodiesDivisor
+		e.door.setTeams(1)
 	}
 }
 
 // ReserveBody reserves memory for the body of a submission until release is called. If too
-// many bodies are being processed, it refuses the submission, or reports that the job is
+// many bodies of the team are being processed, it refuses the submission, or reports that the job is
 // stored already. Bodies that the store keeps waiting hold their memory, too.
 func (e *Entry) ReserveBody(ctx context.Context, spec jobs.Spec, bytes int64) (release func(), stored bool, err error) {
-	held := e.bodies.Add(bytes)
-	if e.maxBodies == 0 || held <= e.maxBodies {
-		return func() { e.bodies.Add(-bytes) }, false, nil
+	if e.door.reserve(spec.Team, bytes) {
+		return func() { e.door.release(spec.Team, bytes) }, false, nil
 	}
-	e.bodies.Add(-bytes)
-	r := core.Refuse(core.CodeBusy, "the submissions in process take %d bytes", held-bytes)
+	r := core.Refuse(core.CodeBusy, "the submissions of team %s in process take too much memory", spec.Team)
 	r.RetryAfter = clientRetryAfter
 	err = e.track("submit", spec.ID, func() (string, error) { return e.refuseUnlessStored(ctx, spec, r) })
 	return nil, err == nil, err
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -102,10 +102,6 @@
 	// firstEpoch is the epoch of the first owner that may start a job accepted now.
 	firstEpoch atomic.Uint64
 	door       door
-	// bodies are the bytes of the bodies that are being processed, at most maxBodies; 0
-	// means no limit.
-	bodies    atomic.Int64
-	maxBodies int64
 	// finds holds a value for each read of refuseUnlessStored.
 	finds    chan struct{}
 	draining atomic.Bool
@@ -139,7 +135,7 @@
 // SetPolicy is called.
 func New(records RecordStore, link OwnerLink, advisor Advisor, meter Meter, log *logrus.Entry, opts ...Option) *Entry {
 	e := &Entry{records: records, link: link, advisor: advisor, meter: meter, log: log, confirmation: newConfirmation(clock.BootTime), finds: make(chan struct{}, maxFinds)}
-	e.door.decisions = budget.NewDoor(0)
+	e.door.decisions, e.door.bodies = budget.NewDoor(0), budget.New(0, 1)
 	for _, o := range opts {
 		o(e)
 	}
@@ -150,6 +146,7 @@
 func (e *Entry) SetPolicy(p *policy.Policy) {
 	if old := e.policy.Load(); old == nil || p.Version > old.Version {
 		e.policy.Store(p)
+		e.door.setTeams(len(p.Teams) + 1)
 	}
 }
 
