--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -179,22 +179,6 @@
 	storedAt time.Time
 }
 
-// Counts are running totals for metrics.
-type Counts struct {
-	Starts, Refused, Unanswered, Ends, Failures, Cuts, Lapses, Stops, Asks uint64
-}
-
-// Decision is one decision for the log.
-type Decision struct {
-	Job    core.JobID
-	Event  string
-	Worker core.WorkerID
-	Task   string
-	Run    uint64
-	Wait   time.Duration
-	Reason string
-}
-
 // bounded returns the limits with the lease reduced to maxLease.
 func (l Limits) bounded() Limits {
 	l.Lease = min(l.Lease, maxLease)
