An owner acts only for as long as its successor can reckon with

Cause: an owner that can't confirm its record went on without end, as it must while the store is away for all. Behind a cut that holds it and some workers, it took the leases beyond for expired 6.17 s later, while its successor extended them or had read the ends; the successor took those on its side for expired 7.2 s after its load, while it extended them. Change: an owner starts tasks and extends leases for 2 s after its last renewal, then for half a minute while more than half of the recorded workers obey it. A successor reckons from when it first saw the record that it has replaced, and from when half of those workers have answered it; the workers' fence keeps the two majorities apart. Entries of workers that are added before name the epoch, so that a third owner counts by the first one's. A task starts again, and a lease counts as expired, only after a confirmation that is later than what the owner has learned. A read that was sent before a suspension doesn't end it (TestSuspension failed). With it, from the review: the end of an unknown job's run is not acknowledged while no job could be read (TestUnreadJobKeepsItsEnd failed), and ends behind several of deleted jobs wait once (TestEndsOfDeletedJobsWaitTogether).

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -85,6 +85,8 @@
 	// Version is 0 if there is no row; Clock is the store's clock.
 	Version uint64
 	Clock   time.Duration
+	// SentAt is when the read was sent; a read without it confirms nothing.
+	SentAt time.Time
 }
 
 // Election is one process's view of the leader election.
@@ -114,9 +116,16 @@
 	endedHolder core.SessionID
 	// suspectHolder names an incarnation that does not answer this process.
 	suspectHolder core.SessionID
-	// suspended is set after a suspension, a stall or a contested write until the
-	// record has been confirmed.
-	suspended bool
+	// suspended is set after a suspension, a stall or a contested write, at
+	// suspendedAt, until the record has been confirmed by a call that was sent later.
+	suspended   bool
+	suspendedAt time.Time
+	// confirmedAt is when the last call was sent that has shown that this process
+	// holds the record, renewedAt when the last confirmed write was sent.
+	confirmedAt, renewedAt time.Time
+	// replacedAt is when the record that this process has claimed last was first seen
+	// as it then was.
+	replacedAt time.Time
 }
 
 // New returns the view of a process that has not read the ownership record yet.
@@ -136,6 +145,29 @@
 // State returns the name of the present state.
 func (e *Election) State() string { return machine.Name(e.state) }
 
+// ConfirmedAt returns when the last call was sent that has shown that this process holds
+// the record. No other process has claimed the record before.
+func (e *Election) ConfirmedAt() time.Time { return e.confirmedAt }
+
+// RenewedAt returns when the last write that this process knows to have taken effect was sent.
+// A process that claims the record has seen that write, or a later one, afterwards.
+func (e *Election) RenewedAt() time.Time { return e.renewedAt }
+
+// ReplacedAt returns a time after the last write of every earlier owner: when this process
+// first saw the record that it has replaced by its claim.
+func (e *Election) ReplacedAt() time.Time { return e.replacedAt }
+
+func (e *Election) confirm(sentAt time.Time) {
+	if sentAt.After(e.confirmedAt) {
+		e.confirmedAt = sentAt
+	}
+	if sentAt.After(e.suspendedAt) {
+		e.suspended = false
+	}
+}
+
+func (e *Election) suspend(now time.Time) { e.suspended, e.suspendedAt = true, now }
+
 // Owning reports whether the process owns the fleet and has loaded its state.
 func (e *Election) Owning() bool { return e.state == stateOwning }
 
@@ -197,7 +229,9 @@
 			e.changedAt = now
 			return false
 		}
-		e.suspended = false
+		if version > 0 {
+			e.confirm(o.SentAt)
+		}
 		return false
 	}
 	if version != e.version || e.changedAt.IsZero() || now.Sub(e.readAt) > maxReadGap {
@@ -206,6 +240,7 @@
 	e.record, e.version, e.readAt = rec, version, now
 	if holdsRecord && version > 0 {
 		// A claim without an answer has taken effect.
+		e.confirm(o.SentAt)
 		e.fire(eventWon)
 		return false
 	}
@@ -226,6 +261,7 @@
 	if e.recordAge(now) < wait {
 		return false
 	}
+	e.replacedAt = e.changedAt
 	e.fire(eventVacant)
 	return e.state == stateClaiming
 }
@@ -273,11 +309,15 @@
 	return rec, e.version
 }
 
-// WriteSucceeded handles a write that has taken effect. Version is the row's new
-// version, storeClock the store's clock.
-func (e *Election) WriteSucceeded(now time.Time, rec Record, version uint64, storeClock time.Duration) {
+// WriteSucceeded handles a write, sent at sentAt, that has taken effect. Version is the
+// row's new version, storeClock the store's clock.
+func (e *Election) WriteSucceeded(now, sentAt time.Time, rec Record, version uint64, storeClock time.Duration) {
 	e.setStoreClock(now, storeClock)
-	e.record, e.version, e.readAt, e.changedAt, e.outcomeUnknown, e.suspended = rec, version, now, now, false, false
+	e.record, e.version, e.readAt, e.changedAt, e.outcomeUnknown = rec, version, now, now, false
+	e.confirm(sentAt)
+	if sentAt.After(e.renewedAt) {
+		e.renewedAt = sentAt
+	}
 	e.fire(eventWon)
 }
 
@@ -297,9 +337,11 @@
 // WriteContested handles a write without effect because the row had changed: another
 // process has claimed it, or an earlier write of this process without an answer has taken
 // effect. Until the row has been read, no orders may be sent.
-func (e *Election) WriteContested() {
+func (e *Election) WriteContested(now time.Time) {
 	e.WriteUnknown()
-	e.suspended = e.IsHolder()
+	if e.IsHolder() {
+		e.suspend(now)
+	}
 }
 
 // WriteRefused handles a write that is known not to have taken effect.
@@ -317,13 +359,13 @@
 
 // CheckSuspension reports whether orders may be sent. An owner must first confirm
 // its record if its process was suspended, or stalled for so long that others may
-// have claimed the record, or if a write found the record changed. bootTime is a clock that counts suspended time,
-// monotonic one that does not.
-func (e *Election) CheckSuspension(bootTime, monotonic time.Duration) bool {
+// have claimed the record, or if a write found the record changed. BootTime is a clock that
+// counts suspended time, monotonic one that does not.
+func (e *Election) CheckSuspension(now time.Time, bootTime, monotonic time.Duration) bool {
 	skew := bootTime - monotonic
 	stalled := e.checkedAt > 0 && bootTime-e.checkedAt > SuspectTTL
 	if (skew-e.clockSkew > suspendTolerance || stalled) && e.IsHolder() {
-		e.suspended = true
+		e.suspend(now)
 	}
 	e.clockSkew, e.checkedAt = skew, bootTime
 	return !e.suspended
--- a/core/fleet/charts.go
+++ b/core/fleet/charts.go
@@ -44,6 +44,7 @@
 		"stop":    (*Task).orderStop,
 		"finish":  (*Task).markDone,
 		"count":   (*Task).countFailure,
+		"verify":  (*Task).verify,
 	}))
 	for name, ev := range map[string]*chart.Event{
 		"recover": &taskRecover, "clear": &taskClear, "found": &taskFound, "place": &taskPlace,
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -32,8 +32,8 @@
 	// maxAckAge is the age of a worker's last answer from which on its ends are not
 	// acknowledged: it may have restarted since, and must answer once more first.
 	maxAckAge = 500 * time.Millisecond
-	// maxJobWait is how long the end of a run of an unknown job waits for that
-	// job to be read from the store. A job that is still unknown after several
+	// maxJobWait is how long, at least, the end of a run of an unknown job waits for
+	// that job to be read from the store. A job that is still unknown after several
 	// readings has been deleted.
 	maxJobWait = 5 * time.Second
 )
@@ -46,6 +46,13 @@
 		return
 	}
 	w.heartbeatInFlight = false
+	if !l.Incarnation.Equal(w.info.Incarnation) {
+		w.noteEnded()
+	}
+	w.markHeard()
+	if sentAt.After(w.contactAt) {
+		w.contactAt = sentAt
+	}
 	if !w.incarnation.IsZero() && !l.Incarnation.Equal(w.incarnation) {
 		w.resetIncarnation()
 	}
@@ -96,6 +103,7 @@
 		return
 	}
 	w.info.Incarnation = incarnation
+	w.leaveQuorum()
 	w.changeRoster()
 }
 
@@ -107,11 +115,13 @@
 		if e.Number <= w.handledEnd {
 			continue
 		}
-		if s.jobs[e.Task.Job] == nil && w.mustAwaitJob(e.Task.Job) {
+		if s.jobs[e.Task.Job] == nil && w.mustAwaitJob(e.Task.Job, ends[len(ends)-1].Number) {
 			w.ackableSeq = s.changeSeq
 			return
 		}
-		w.blockedSince = time.Time{}
+		if e.Number >= w.blockedThrough {
+			w.blockedSince = time.Time{}
+		}
 		w.handledEnd = e.Number
 		w.countOutcome(e.Kind)
 		if i := slices.IndexFunc(w.orphans, func(o orphanedRun) bool { return o.task == e.Task && o.run == e.Run }); i >= 0 {
@@ -134,13 +144,14 @@
 // mustAwaitJob reports whether the end of a run of an unknown job must wait
 // until that job has been read: acknowledging the end would lose it, and the
 // task would run again. It also requests that reading and records since when
-// the end waits.
-func (w *Worker) mustAwaitJob(id core.JobID) bool {
-	w.scheduler.unknownJobSeen = true
+// the ends up to lastListed wait.
+func (w *Worker) mustAwaitJob(id core.JobID, lastListed uint64) bool {
+	s := w.scheduler
+	s.unknownJobSeen = true
 	if w.blockedSince.IsZero() {
-		w.blockedSince = w.scheduler.now
+		w.blockedSince, w.blockedThrough = s.now, lastListed
 	}
-	return w.scheduler.nameParked(id) || w.scheduler.now.Sub(w.blockedSince) < maxJobWait
+	return s.nameParked(id) || s.now.Sub(w.blockedSince) < maxJobWait || !s.jobsReadAt.After(w.blockedSince)
 }
 
 // countOutcome counts consecutive failed runs and sets the worker aside when
@@ -390,38 +401,46 @@
 
 // orderHeartbeats orders the heartbeats that are due.
 func (s *Scheduler) orderHeartbeats() {
+	needsContacts := s.needsContacts()
 	for _, w := range s.sortedWorkers {
 		if w.heartbeatInFlight || s.now.Before(w.nextHeartbeat) {
 			continue
 		}
-		wait := heartbeatWait
+		wait, sinceLast := heartbeatWait, s.now.Sub(w.heartbeatSentAt)
+		mayAck := s.storedSeq >= w.ackableSeq
 		switch {
 		case w.state == workerFresh || w.answeredAt.IsZero():
 			wait = 0
 		case w.state != workerLive:
 			wait = 0
 			w.nextHeartbeat = s.now.Add(heartbeatRetry)
-		case s.storedSeq < w.ackableSeq:
+		case needsContacts && sinceLast < contactInterval:
+			continue
+		case !needsContacts && !mayAck && sinceLast < s.limits.Lease/heartbeatDivisor:
 			// The worker would list the unacknowledged ends again at once.
-			if s.now.Sub(w.heartbeatSentAt) < s.limits.Lease/heartbeatDivisor {
-				continue
-			}
-			wait = 0
+			continue
 		default:
-			w.ackedEnd = w.handledEnd
+			if needsContacts || !mayAck {
+				wait = 0
+			}
+			if mayAck {
+				w.ackedEnd = w.handledEnd
+			}
 		}
 		w.heartbeatInFlight, w.heartbeatSentAt = true, s.now
 		s.orderHeartbeat(w, wait)
 	}
 }
 
-// orderHeartbeat orders a heartbeat. Only a worker that answered the last one
-// gets its lease renewed: a renewal sent to a silent worker may arrive late,
+// orderHeartbeat orders a heartbeat. Only an owner that may act renews leases, and only
+// those of workers that answered the last one: a renewal sent to a silent worker may arrive late,
 // and no time would be known by which the runs there must have ended.
 func (s *Scheduler) orderHeartbeat(w *Worker, wait time.Duration) {
 	o := Order{Kind: OrderHeartbeat, Worker: w.id, Info: w.info, Epoch: s.epoch, Wait: wait}
 	if w.state == workerLive {
-		o.LeaseUntil = w.extendLease()
+		if s.authority.acting {
+			o.LeaseUntil = w.extendLease()
+		}
 		if s.now.Sub(w.answeredAt) <= maxAckAge {
 			o.AckedEnd = w.ackedEnd
 		}
--- a/core/fleet/membership_test.go
+++ b/core/fleet/membership_test.go
@@ -163,6 +163,7 @@
 func TestRandomMembership(t *testing.T) {
 	for seed := range *membershipSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			m := newMembership(t, seed)
 			m.lossRate, m.delayRate = 0.03*m.rng.Float64(), m.rng.Float64()
--- a/core/fleet/occurrence.go
+++ b/core/fleet/occurrence.go
@@ -185,7 +185,7 @@
 // The others wait, in the order in which they have become due.
 func (s *Scheduler) buildDue() {
 	s.teamsWaiting = 0
-	mayRun := !s.allReported || s.hasUnreportedWorkers()
+	mayRun := !s.allReported || s.hasUnreportedWorkers() || !s.confirmedSince(s.authority.endedAt)
 	for _, team := range slices.Sorted(maps.Keys(s.due)) {
 		if !s.buildDueOf(s.due[team], mayRun) {
 			s.teamsWaiting++
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -51,11 +51,12 @@
 	if len(s.unresolved) > 0 || len(s.heldPhases) > 0 {
 		s.unreportedCapacity = s.sumUnreportedCapacity()
 	}
+	s.updateActing()
 	s.lapseSilent()
 	s.accountForSilent()
 	s.orderHeartbeats()
 	s.repeatStops()
-	if s.needsPlacement {
+	if s.needsPlacement && s.authority.acting {
 		s.needsPlacement = false
 		s.placeAll()
 	}
@@ -278,6 +279,8 @@
 	switch s := p.job.scheduler; {
 	case !p.startable():
 		return "previous run of the gang has not ended"
+	case p.spec.Gang && !p.verified():
+		return unverifiedReason
 	case !s.withinLimit(p, p.need(), p.minStartCount()):
 		return "team is at its limit"
 	}
@@ -333,7 +336,10 @@
 		s.startTask(t, free[i], p.nextRun(t.run), t.checkpoint)
 		free[i].slots--
 	}
-	if p.tasksWaiting > 0 {
+	switch {
+	case p.tasksWaiting > 0 && !p.verified():
+		return unverifiedReason
+	case p.tasksWaiting > 0:
 		return p.noFreeWorkerReason()
 	}
 	return ""
@@ -342,7 +348,7 @@
 // isWaiting reports whether the task with an index may be placed.
 func (p *phase) isWaiting(index int) bool {
 	if t := p.tasks[index]; t != nil {
-		return t.state == taskWaiting
+		return t.state == taskWaiting && t.verified()
 	}
 	return p.held == 0 && !p.isDone(index)
 }
--- a/core/fleet/proof.go
+++ b/core/fleet/proof.go
@@ -28,14 +28,27 @@
 )
 
 // leaseExpired reports whether the lease of all runs on the worker has certainly
-// expired. The leases on a worker that has not answered this owner were granted by
-// earlier owners; the orders of these are refused once it has answered.
+// expired. A later owner may have extended it unless the ownership record has been
+// confirmed since it expired.
 func (w *Worker) leaseExpired() bool {
 	s := w.scheduler
+	if w.leaseExpiredAt(s.authority.confirmedAt) {
+		return true
+	}
+	if w.leaseExpiredAt(s.now) && !s.WantsConfirmation() {
+		s.wantConfirmation()
+	}
+	return false
+}
+
+// leaseExpiredAt reports whether the lease that this owner and earlier ones have granted
+// had certainly expired at a time. The leases on a worker that has not answered this owner
+// were granted by earlier owners; the orders of these are refused once it has answered.
+func (w *Worker) leaseExpiredAt(t time.Time) bool {
 	if w.answeredAt.IsZero() {
-		return s.now.After(s.earlierLeasesEnd)
+		return t.After(w.scheduler.earlierLeasesEnd())
 	}
-	clock := w.clock + time.Duration(float64(s.now.Sub(w.answeredAt))*minClockRate)
+	clock := w.clock + time.Duration(float64(t.Sub(w.answeredAt))*minClockRate)
 	return clock > w.leaseUntil+leaseSlack
 }
 
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -42,10 +42,16 @@
 // has reported or its runs have certainly ended: a run that no worker listed does not
 // exist. A worker may run any task unless its entry in the roster names its runs.
 func (s *Scheduler) resolveRecovered() {
+	s.settle()
 	if s.allReported && len(s.unresolved) == 0 && len(s.heldPhases) == 0 || slices.ContainsFunc(s.sortedWorkers, (*Worker).mayRunAny) {
 		return
 	}
-	if s.rosterUnknown && !s.now.After(s.earlierLeasesEnd) {
+	if s.rosterUnknown && !s.authority.confirmedAt.After(s.earlierLeasesEnd()) {
+		return
+	}
+	// A later owner may know of runs on the workers that have ended, and so start their
+	// tasks at once.
+	if !s.confirmedSince(s.authority.endedAt) {
 		return
 	}
 	s.allReported = true
--- a/core/fleet/repeat_test.go
+++ b/core/fleet/repeat_test.go
@@ -72,6 +72,7 @@
 func TestRandomRepeats(t *testing.T) {
 	for seed := range *repeatSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			h := newHarness(t, seed, 4, core.Resources{})
 			h.maxSkew = 2 * time.Second
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -20,6 +20,9 @@
 // RosterEntry is a worker of the stored roster: earlier owners may have started runs there.
 type RosterEntry struct {
 	WorkerInfo
+	// Since is the epoch of the owner that has added the worker while an earlier owner
+	// might still have acted; 0 for all others.
+	Since core.Epoch `json:",omitempty"`
 	// Silent is set if the worker did not answer the owner that stored the entry. No
 	// other tasks than those in Runs can be active there or have ended there unrecorded.
 	Silent bool          `json:",omitempty"`
@@ -33,8 +36,12 @@
 		if s.workers[e.ID()] == nil {
 			w := s.addWorker(e.ID(), e.WorkerInfo)
 			w.inherited, w.accounted, w.accountedRuns = true, e.Silent, e.Runs
+			w.since, w.inQuorum = e.Since, true
+			s.authority.inherit(e.Since)
 		}
 	}
+	s.authority.settledAt = time.Time{}
+	s.authority.rosterStored(entries)
 }
 
 // RosterVersion returns a number that changes whenever the roster does.
@@ -47,9 +54,10 @@
 	out := make([]RosterEntry, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
 		if w.state != workerLapsed {
-			out = append(out, RosterEntry{WorkerInfo: w.info, Silent: w.accounted, Runs: w.accountedRuns})
+			out = append(out, RosterEntry{WorkerInfo: w.info, Since: w.since, Silent: w.accounted, Runs: w.accountedRuns})
 		}
 	}
+	s.authority.rosterStaged(out)
 	return out, s.rosterVersion
 }
 
@@ -60,18 +68,27 @@
 	w.inRoster, w.rosterSince = false, w.scheduler.rosterVersion
 }
 
+// leaveQuorum excludes the worker from the quorum until the next version of the roster is
+// stored.
+func (w *Worker) leaveQuorum() {
+	w.inQuorum, w.quorumSince = false, w.scheduler.rosterVersion+1
+}
+
 // RosterStored records which incarnations of workers are in the stored roster of a version.
 // Tasks are placed on no others: an owner that does not know that it has been
 // replaced can store nothing, and so uses no worker that its successor does not
 // know.
 func (s *Scheduler) RosterStored(roster []RosterEntry, version uint64) {
+	s.authority.rosterStored(roster)
 	stored := make(map[core.WorkerID]time.Time, len(roster))
 	for _, e := range roster {
 		stored[e.ID()] = e.Incarnation
 	}
 	for _, w := range s.sortedWorkers {
 		incarnation, ok := stored[w.id]
-		w.inRoster = ok && incarnation.Equal(w.info.Incarnation) && version >= w.rosterSince
+		isStored := ok && incarnation.Equal(w.info.Incarnation)
+		w.inRoster = isStored && version >= w.rosterSince
+		w.inQuorum = isStored && version >= w.quorumSince
 	}
 	s.needsPlacement = true
 }
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -32,11 +32,6 @@
 	// election, 1.5 s for loading the state and the first heartbeat, and 1.5 s
 	// for the age of the last renewal.
 	maxLease = 6 * time.Second
-	// maxOverlap bounds the time from the creation of a scheduler to the last decision
-	// of an earlier owner. That owner renews its record every 0.7 s and so learns of
-	// its successor after one more round trip to the store, while the successor has
-	// needed a round trip to load the state.
-	maxOverlap = time.Second
 )
 
 // Limits are the settings and platform figures that bound the scheduler's
@@ -117,9 +112,7 @@
 	// list was requested, on the clock of WorkerList.
 	listedAt        time.Time
 	listRequestedAt time.Duration
-	// earlierLeasesEnd is when every lease that an earlier owner has granted has
-	// certainly expired.
-	earlierLeasesEnd time.Time
+	authority       authority
 	// rosterUnknown is set if earlier owners may have used workers that the restored
 	// roster lacks.
 	rosterUnknown bool
@@ -158,6 +151,8 @@
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
 	progressSeen bool
+	// jobsReadAt is when the last successful read of new jobs from the store was sent.
+	jobsReadAt time.Time
 	// unknownJobSeen is set when a worker names a job that the scheduler does
 	// not know.
 	unknownJobSeen bool
@@ -189,9 +184,12 @@
 type Option func(*Scheduler)
 
 // WithLostState marks an owner that has already made decisions under its epoch
-// and has lost its state.
+// and has lost its state. It counts as one of the earlier owners itself.
 func WithLostState() Option {
-	return func(s *Scheduler) { s.allReported, s.recoverBefore = false, s.epoch+1 }
+	return func(s *Scheduler) {
+		s.allReported, s.recoverBefore = false, s.epoch+1
+		s.authority.replacedAt = s.now
+	}
 }
 
 // WithUnknownRoster marks an owner that does not know all workers that earlier ones may
@@ -202,8 +200,8 @@
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		epoch: epoch, recoverBefore: epoch, now: now, allReported: epoch <= 1,
-		earlierLeasesEnd: now.Add(maxOverlap + onSlowestClock(maxLease+leaseSlack)),
-		limits:           limits.bounded(), policy: p, estimator: cell.NewEstimator(),
+		authority: authority{replacedAt: now, acting: true},
+		limits:    limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
 		openPhases: map[*phase]struct{}{}, due: map[core.Team]dueQueue{},
 		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{},
@@ -317,6 +315,9 @@
 	return seen
 }
 
+// JobsRead records that all jobs that were in the store at sentAt have been passed on.
+func (s *Scheduler) JobsRead(sentAt time.Time) { s.jobsReadAt = sentAt }
+
 // Load adds the stored jobs with their progress. Tasks that an earlier owner
 // may have started may still be running. It parks the jobs for which there is no memory.
 func (s *Scheduler) Load(now time.Time, specs []jobs.Spec, progress map[core.JobID]jobs.Progress) {
--- a/core/fleet/task.go
+++ b/core/fleet/task.go
@@ -46,6 +46,9 @@
 	placedAt time.Time
 	// startedAt is when the worker was first known to run the task.
 	startedAt time.Time
+	// endedAt is when the end of the last run was learned, or that there is no such run;
+	// zero if the task has not run.
+	endedAt time.Time
 	// stopSentAt is when a stop was last ordered, stopAckedAt when the worker
 	// acknowledged it; zero if not.
 	stopSentAt, stopAckedAt time.Time
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -19,6 +19,9 @@
 	// leaseSlack is added to a lease before it counts as expired, for rounding
 	// on both sides.
 	leaseSlack = 50 * time.Millisecond
+	// maxClockAge bounds the age of a worker's answer for which its clock is extrapolated:
+	// the rate of the clock is not known, and leaseSlack covers this much.
+	maxClockAge = 2 * time.Second
 	// goneDelay is how long a worker must be missing from the platform's list
 	// before it counts as gone. Entries that lapse while the store is
 	// unavailable reappear within 2 s of its return.
@@ -102,6 +105,16 @@
 	accountedRuns []jobs.TaskID
 	// silentSince is when the worker missed the first heartbeat since its last answer.
 	silentSince time.Time
+	// since is the epoch in the worker's roster entry.
+	since core.Epoch
+	// heard is set once the worker has answered this owner or has ended, contactAt is when the last
+	// heartbeat was sent that it has answered.
+	heard     bool
+	contactAt time.Time
+	// inQuorum is set while this incarnation counts towards the quorum: every roster that
+	// may be stored names it. Rosters older than quorumSince do not show that.
+	inQuorum    bool
+	quorumSince uint64
 	// listed is set while the platform lists the worker; if it is not set,
 	// missingSince is when the worker was first found missing.
 	listed       bool
@@ -120,8 +133,10 @@
 	// While there are any, nothing is placed on the worker.
 	unknownRuns map[jobs.TaskID]uint64
 	// blockedSince is when the end of an unknown job's run began to keep later
-	// ends from being handled; zero if none does.
-	blockedSince time.Time
+	// ends from being handled; zero if none does. The worker had listed the ends up
+	// to blockedThrough then.
+	blockedSince   time.Time
+	blockedThrough uint64
 
 	// clock is the worker's clock in its last answer, which arrived at
 	// answeredAt.
@@ -197,6 +212,9 @@
 
 func (s *Scheduler) addWorker(id core.WorkerID, info WorkerInfo) *Worker {
 	w := &Worker{id: id, scheduler: s, nameHash: xxhash.Sum64String(string(id)), state: workerChart.Start(), info: info, free: info.Capacity, tasks: map[jobs.TaskID]*Task{}}
+	if s.authority.settledAt.IsZero() {
+		w.since = s.epoch
+	}
 	s.workers[id] = w
 	w.changeRoster()
 	i, _ := slices.BinarySearchFunc(s.sortedWorkers, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
@@ -223,6 +241,9 @@
 		w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	}
 	if w.incarnation.IsZero() {
+		if !w.info.Incarnation.Equal(info.Incarnation) {
+			w.noteEnded()
+		}
 		w.setIncarnation(info.Incarnation)
 	}
 	// The incarnation that the worker itself reports is newer than the list.
@@ -262,6 +283,7 @@
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *Worker) bool {
 		if w.state == workerGone {
 			delete(s.workers, w.id)
+			w.markHeard()
 			s.rosterVersion++
 		}
 		return w.state == workerGone
@@ -272,6 +294,8 @@
 // has lapsed.
 func (w *Worker) endRuns() {
 	w.scheduler.counts.Lapses++
+	w.noteEnded()
+	w.leaveQuorum()
 	for _, t := range w.sortedTasks() {
 		w.scheduler.logDecision(Decision{Job: t.phase.id.Job, Event: "run lost with its worker", Worker: w.id, Task: t.ID().String(), Run: t.run, Reason: workerChart.Name(w.state)})
 		t.fire(taskCut)
@@ -317,7 +341,7 @@
 	if w.answeredAt.IsZero() {
 		return 0
 	}
-	end := w.clock + w.scheduler.now.Sub(w.answeredAt) + w.scheduler.limits.Lease
+	end := w.clock + min(w.scheduler.now.Sub(w.answeredAt), maxClockAge) + w.scheduler.limits.Lease
 	w.leaseUntil = max(w.leaseUntil, end)
 	return end
 }
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -68,6 +68,7 @@
 				o.log.WithError(err).Warn("cannot read the ownership record")
 				return
 			}
+			obs.SentAt = began
 			o.handleObservation(now, obs, took)
 		}
 	})
@@ -87,6 +88,7 @@
 	if wasHolder && !o.election.IsHolder() {
 		o.discardScheduler("another process holds the ownership record")
 	}
+	o.confirmScheduler(now)
 	o.announceOwner()
 	switch {
 	case claim:
@@ -101,6 +103,15 @@
 	}
 }
 
+// confirmScheduler passes the last confirmation of the ownership record on to the scheduler.
+func (o *Owner) confirmScheduler(now time.Time) {
+	if o.scheduler == nil || !o.election.IsHolder() {
+		return
+	}
+	o.scheduler.Confirmed(o.election.ConfirmedAt())
+	o.tickSoon(now)
+}
+
 // announceOwner calls the owner hook if the owner or its epoch has changed.
 func (o *Owner) announceOwner() {
 	rec, _ := o.election.Record()
@@ -181,8 +192,9 @@
 			write.Deletes = o.progressToDelete
 		}
 	}
-	due := claiming || len(write.Progress) > 0 || len(write.Deletes) > 0 || write.Roster != nil || now.Sub(o.lastWrite) >= elect.RenewInterval
-	if !due {
+	hasRows := len(write.Progress) > 0 || len(write.Deletes) > 0 || write.Roster != nil
+	confirms := o.scheduler != nil && o.scheduler.WantsConfirmation()
+	if !claiming && !hasRows && !confirms && now.Sub(o.lastWrite) < elect.RenewInterval {
 		return
 	}
 	o.recordWriteInFlight = true
@@ -194,28 +206,29 @@
 		return func(o *Owner, now time.Time) {
 			o.recordWriteInFlight = false
 			o.meter.Record(len(write.Progress), took)
-			o.handleWrite(now, write, rosterVersion, result, epoch, err)
+			o.handleWrite(now, began, write, rosterVersion, result, epoch, err)
 		}
 	})
 }
 
-// handleWrite handles the outcome of a write by the owner of an epoch.
+// handleWrite handles the outcome of a write, sent at sentAt, by the owner of an epoch.
 // RosterVersion is the version of the roster in the write.
-func (o *Owner) handleWrite(now time.Time, write record.OwnerWrite, rosterVersion uint64, result table.WriteResult, epoch core.Epoch, err error) {
+func (o *Owner) handleWrite(now, sentAt time.Time, write record.OwnerWrite, rosterVersion uint64, result table.WriteResult, epoch core.Epoch, err error) {
 	sameEpoch := o.scheduler != nil && o.scheduler.Epoch() == epoch
 	o.nextWrite = now.Add(writeInterval)
 	var conflict *table.ConflictError
 	switch {
 	case err == nil:
 		wasHolder := o.election.IsHolder()
-		o.election.WriteSucceeded(now, write.Record, result.Version, result.Now)
+		o.election.WriteSucceeded(now, sentAt, write.Record, result.Version, result.Now)
 		o.onRecord(write.Record)
-		o.lastWrite = now
+		o.lastWrite = o.election.RenewedAt()
 		o.announceOwner()
 		if !wasHolder && o.election.Loading() {
 			o.loadSnapshot()
 		}
 		if sameEpoch {
+			o.scheduler.Renewed(o.election.RenewedAt())
 			o.scheduler.BatchStored(now)
 			o.handleRosterStored(write.Roster, rosterVersion)
 			if write.Deletes != nil {
@@ -229,7 +242,7 @@
 		// this process, which had no answer, took effect late. Reading the record
 		// shows which.
 		o.log.WithError(err).Warn("ownership record has changed")
-		o.election.WriteContested()
+		o.election.WriteContested(now)
 		o.nextRecordRead = now
 	case record.Refused(err):
 		o.log.WithError(err).Warn("store refused the owner's write")
@@ -293,16 +306,17 @@
 				o.retryLoad()
 				return
 			}
-			o.handleSnapshot(now, loadedSnapshot{epoch, snapshot, took})
+			o.handleSnapshot(now, loadedSnapshot{epoch, snapshot, began, took})
 		}
 	})
 }
 
-// loadedSnapshot is a snapshot that the owner of an epoch has loaded; took is the
-// duration of the load.
+// loadedSnapshot is a snapshot that the owner of an epoch has loaded; began and took are
+// the start and the duration of the load.
 type loadedSnapshot struct {
 	epoch    core.Epoch
 	snapshot *record.Snapshot
+	began    time.Time
 	took     time.Duration
 }
 
@@ -338,7 +352,7 @@
 		return
 	}
 	if o.scheduler == nil {
-		var opts []fleet.Option
+		opts := []fleet.Option{fleet.WithReplacedAt(o.election.ReplacedAt())}
 		if epoch == o.lastOwnedEpoch {
 			// An earlier scheduler of this process has made decisions in this epoch.
 			opts = append(opts, fleet.WithLostState())
@@ -348,11 +362,14 @@
 		}
 		o.scheduler, o.lastOwnedEpoch = fleet.New(now, epoch, o.limits, o.policy, opts...), epoch
 		o.scheduler.RestoreRoster(snapshot.Roster)
+		o.scheduler.Renewed(o.election.RenewedAt())
+		o.scheduler.Confirmed(o.election.ConfirmedAt())
 		o.rosterToStore, o.rosterVersion = nil, 0
 		o.meter.SetOwning(true)
 	}
 	o.scheduler.Load(now, o.validSpecs(snapshot.Specs), snapshot.Progress)
 	o.scheduler.Park(now, snapshot.Parked)
+	o.scheduler.JobsRead(loaded.began)
 	for _, id := range snapshot.Cancelled {
 		o.scheduler.Cancel(now, id)
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -123,7 +123,7 @@
 	workerListAt time.Time
 
 	// At most one call of each kind is in flight. The next one starts no earlier than
-	// its time below. lastWrite is the time of the last successful write.
+	// its time below. lastWrite is when the last successful write was sent.
 	recordReadInFlight, recordWriteInFlight, workersReadInFlight, changesReadInFlight, snapshotLoadInFlight bool
 	nextRecordRead, nextWorkersRead, nextChangesRead                                                        time.Time
 	nextWrite, nextTick, nextHint                                                                           time.Time
@@ -252,7 +252,7 @@
 // Tick implements loop.Handler.
 func (o *Owner) Tick(now time.Time) time.Time {
 	o.onTick()
-	maySendOrders := o.election.CheckSuspension(clock.BootTime(), clock.Monotonic())
+	maySendOrders := o.election.CheckSuspension(now, clock.BootTime(), clock.Monotonic())
 	o.readRecord(now)
 	o.readWorkers(now)
 	next := now.Add(elect.ReadInterval)
@@ -340,6 +340,7 @@
 	o.changesReadInFlight = true
 	after, epoch := o.changesVersion, o.scheduler.Epoch()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
+		sentAt := time.Now()
 		changes, err := guard.Call(func() (record.Snapshot, error) { return o.records.Changes(ctx, after) })
 		return func(o *Owner, now time.Time) {
 			o.changesReadInFlight = false
@@ -348,6 +349,9 @@
 				return
 			}
 			o.handleChanges(now, changes, err)
+			if err == nil && o.scheduler != nil {
+				o.scheduler.JobsRead(sentAt)
+			}
 		}
 	})
 }
--- a/io/record/roster.go
+++ b/io/record/roster.go
@@ -99,7 +99,7 @@
 
 // sameEntry reports whether two entries of the roster tell a later owner the same.
 func sameEntry(a, b fleet.RosterEntry) bool {
-	return a.ID() == b.ID() && a.Addr == b.Addr && a.Incarnation.Equal(b.Incarnation) && a.Silent == b.Silent && slices.Equal(a.Runs, b.Runs)
+	return a.ID() == b.ID() && a.Addr == b.Addr && a.Incarnation.Equal(b.Incarnation) && a.Since == b.Since && a.Silent == b.Silent && slices.Equal(a.Runs, b.Runs)
 }
 
 // confirm records that rows have been stored.
--- a/io/record/roster_test.go
+++ b/io/record/roster_test.go
@@ -137,6 +137,26 @@
 	is.Equal(len(snapshot.Roster), 4000)
 }
 
+// TestClearedMarkIsWritten guards against a roster whose entries go on naming the epoch of an
+// owner that was not settled, since nothing else in their rows has changed.
+func TestClearedMarkIsWritten(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := startStore(t, newFakeTable())
+	roster := rosterOf(1, 2)
+	roster[1].Since = 2
+	done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 2}, Roster: roster})
+	is.NoErr(err)
+	roster = rosterOf(1, 2)
+	_, err = s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 2}, Version: done.Version, Roster: roster})
+	is.NoErr(err)
+	snapshot, err := s.Load(ctx, budget.New(0, 0))
+	is.NoErr(err)
+	for _, e := range snapshot.Roster {
+		is.Equal(e.Since, core.Epoch(0))
+	}
+}
+
 // TestDamagedRoster guards against a row of the roster that cannot be decoded and keeps
 // every owner from loading the stored state for ever. The other rows are read, and the
 // next write replaces the row.
