Orders, ends and hand-overs tell by which right they were given

Cause: no log line or metric told, for a task that ran twice, which VM and epoch had sent each order, who had acknowledged the end and when, how old the sender's last confirmation was, and which workers a new owner had not reached.

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -126,6 +126,8 @@
 	// replacedAt is when the record that this process has claimed last was first seen
 	// as it then was.
 	replacedAt time.Time
+	// claim is the last claim of this process.
+	claim Claim
 }
 
 // New returns the view of a process that has not read the ownership record yet.
@@ -247,13 +249,22 @@
 	if e.state != stateWatching {
 		return false
 	}
-	wait := e.claimDelay
+	wait, reason := e.claimDelay, ClaimExpired
 	switch {
 	case rec.Holder == "":
+		reason = ClaimResigned
+		if version == 0 {
+			reason = ClaimNoRecord
+		}
 	case rec.VM == e.self.VM || rec.Holder == e.endedHolder:
 		// Only one process at a time can bind the VM's address, so an earlier
 		// holder on this VM has ended.
+		reason = ClaimEnded
+		if rec.VM == e.self.VM {
+			reason = ClaimSameVM
+		}
 	case rec.Holder == e.suspectHolder:
+		reason = ClaimSuspected
 		wait += SuspectTTL
 	default:
 		wait += TTL
@@ -261,7 +272,7 @@
 	if e.recordAge(now) < wait {
 		return false
 	}
-	e.replacedAt = e.changedAt
+	e.replacedAt, e.claim = e.changedAt, Claim{Reason: reason, RecordAge: e.recordAge(now)}
 	e.fire(eventVacant)
 	return e.state == stateClaiming
 }
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -252,3 +252,30 @@
 	e.Drain()
 	is.True(!e.Observe(at(100), elect.Observation{Record: free, Version: 5})) // a draining process does not claim
 }
+
+// TestClaimReason guards against claims of which the logs don't tell why they were allowed, and
+// how old the record was.
+func TestClaimReason(t *testing.T) {
+	for want, prepare := range map[elect.ClaimReason]func(e *elect.Election, rec *elect.Record) time.Duration{
+		elect.ClaimExpired: func(*elect.Election, *elect.Record) time.Duration { return elect.TTL },
+		elect.ClaimSuspected: func(e *elect.Election, rec *elect.Record) time.Duration {
+			e.MarkSuspect(rec.Holder)
+			return elect.SuspectTTL
+		},
+		elect.ClaimEnded:    func(e *elect.Election, rec *elect.Record) time.Duration { e.MarkEnded(rec.Holder); return 0 },
+		elect.ClaimResigned: func(_ *elect.Election, rec *elect.Record) time.Duration { rec.Holder = ""; return 0 },
+	} {
+		t.Run(string(want), func(t *testing.T) {
+			is := is.New(t)
+			e, rec := newElection(), otherRecord(1)
+			age := prepare(e, &rec)
+			claimed := false
+			for after := time.Duration(0); !claimed && after <= elect.TTL; after += 100 * time.Millisecond {
+				is.Equal(e.Claim(), elect.Claim{})
+				claimed = e.Observe(start.Add(after), elect.Observation{Record: rec, Version: 1})
+			}
+			is.True(claimed)
+			is.Equal(e.Claim(), elect.Claim{Reason: want, RecordAge: age})
+		})
+	}
+}
--- a/core/fleet/decision.go
+++ b/core/fleet/decision.go
@@ -11,6 +11,18 @@
 	Starts, Refused, Unanswered, Ends, Failures, Cuts, Lapses, Stops, Asks uint64
 }
 
+// Events of decisions that link the orders of several owners.
+const (
+	// EventPlaced is the start of a run, EventRunEnded and the worker's word for it the end
+	// of one.
+	EventPlaced   = "placed"
+	EventRunEnded = "run ended "
+	// EventAcked means that a worker has taken the acknowledgement of ends,
+	// EventAckUnconfirmed that it is not known whether it has.
+	EventAcked          = "ends acknowledged"
+	EventAckUnconfirmed = "acknowledgement not confirmed"
+)
+
 // Decision is one decision for the log.
 type Decision struct {
 	Job    core.JobID
@@ -20,4 +32,15 @@
 	Run    uint64
 	Wait   time.Duration
 	Reason string
+
+	// Epoch is the owner's, Confirmed the age of the last confirmation of its ownership
+	// record when the order was given or the decision made.
+	Epoch     core.Epoch
+	Confirmed time.Duration
+	// LastEnd is the number of a run's end on its worker, or of the last of the ends that
+	// an acknowledgement covers from FirstEnd on; both are 0 for other decisions.
+	FirstEnd, LastEnd uint64
+	// Count counts workers or tasks, and Workers names the first workers of them.
+	Count   int
+	Workers []core.WorkerID
 }
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -12,6 +12,10 @@
 // Dump is the scheduler's state for operators.
 type Dump struct {
 	Epoch core.Epoch
+	// Confirmed is the age of the last confirmation of the ownership record, Unreached
+	// the number of workers of earlier owners that this owner still waits for.
+	Confirmed string
+	Unreached int
 	// Settled is set once every worker that an earlier owner may have used has
 	// reported.
 	Settled bool
@@ -35,6 +39,9 @@
 	// Usable is set if tasks may be placed on the worker, Recorded if it is in
 	// the stored roster.
 	Usable, Recorded bool
+	// Unreached is set while an earlier owner's worker has not answered this owner and
+	// its runs have not certainly ended.
+	Unreached bool
 	// Foreign counts the runs of unknown jobs.
 	Foreign int
 	// Heard is the time since the worker's last answer.
@@ -76,14 +83,14 @@
 
 // Dump returns the scheduler's state.
 func (s *Scheduler) Dump() *Dump {
-	d := &Dump{Epoch: s.epoch, Settled: s.allReported, Counts: s.counts, Used: map[core.Team]core.Resources{}, Memory: s.MemoryUse()}
+	d := &Dump{Epoch: s.epoch, Confirmed: s.recordAge().Round(time.Millisecond).String(), Unreached: s.Unreached(), Settled: s.allReported, Counts: s.counts, Used: map[core.Team]core.Resources{}, Memory: s.MemoryUse()}
 	for t, r := range s.used {
 		d.Used[t] = r
 	}
 	for _, w := range s.sortedWorkers {
 		d.Workers = append(d.Workers, WorkerDump{
 			Worker: w.id, State: workerChart.Name(w.state), Room: w.info.Capacity, Free: w.free, Tasks: len(w.tasks), Strays: len(w.orphans),
-			Usable: w.usable(), Recorded: w.inRoster, Foreign: len(w.unknownRuns),
+			Usable: w.usable(), Recorded: w.inRoster, Unreached: w.unreached(), Foreign: len(w.unknownRuns),
 			Leaving: w.info.Leaving, SetAside: s.now.Before(w.asideUntil), Heard: s.now.Sub(w.answeredAt).Round(time.Millisecond).String(),
 			Taken: w.handledEnd, Acked: w.ackedEnd, Slow: w.slowness,
 		})
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -45,6 +45,7 @@
 	if w == nil {
 		return
 	}
+	w.logReached()
 	w.heartbeatInFlight = false
 	if !l.Incarnation.Equal(w.info.Incarnation) {
 		w.noteEnded()
@@ -67,6 +68,7 @@
 		w.clock, w.answeredAt = l.Clock, now
 	}
 	w.endAccount()
+	w.logAcked(l.Ended)
 	w.fire(workerAnswer)
 	if w.state == workerGone {
 		return
@@ -92,7 +94,7 @@
 		w.orphans[i].stopSentAt, w.orphans[i].stopAckedAt = time.Time{}, time.Time{}
 	}
 	w.clock, w.answeredAt, w.leaseUntil = 0, time.Time{}, 0
-	w.handledEnd, w.ackedEnd, w.ackableSeq = 0, 0, 0
+	w.handledEnd, w.ackedEnd, w.ackableSeq, w.ack = 0, 0, 0, ack{}
 	w.failedInRow = 0
 }
 
@@ -123,13 +125,14 @@
 			w.blockedSince = time.Time{}
 		}
 		w.handledEnd = e.Number
+		w.ack.expect(e.Number)
 		w.countOutcome(e.Kind)
 		if i := slices.IndexFunc(w.orphans, func(o orphanedRun) bool { return o.task == e.Task && o.run == e.Run }); i >= 0 {
 			w.releaseOrphan(w.orphans[i])
 			w.orphans = slices.Delete(w.orphans, i, i+1)
 		}
 		t := s.namedTask(e.Task)
-		d := Decision{Job: e.Task.Job, Event: "run ended " + e.Reason, Worker: w.id, Task: e.Task.String(), Run: e.Run}
+		d := Decision{Job: e.Task.Job, Event: EventRunEnded + e.Reason, Worker: w.id, Task: e.Task.String(), Run: e.Run, LastEnd: e.Number}
 		if t != nil {
 			if t.worker == w && t.run == e.Run && !t.startedAt.IsZero() {
 				d.Wait = s.now.Sub(t.startedAt)
@@ -326,6 +329,7 @@
 		// Once the worker has acknowledged the stop, the run can no longer
 		// start.
 		if !t.stopAckedAt.IsZero() && sentAt.After(t.stopAckedAt) {
+			t.logRun("stopped run is in no list of its worker", "")
 			t.fire(taskRefused)
 		}
 	}
@@ -339,6 +343,7 @@
 		return
 	}
 	w.heartbeatInFlight = false
+	w.logAckUnconfirmed()
 	w.nextHeartbeat = now.Add(heartbeatRetry)
 	if w.state == workerFresh && w.listed {
 		w.nextHeartbeat = now.Add(firstHeartbeatRetry)
@@ -445,5 +450,6 @@
 			o.AckedEnd = w.ackedEnd
 		}
 	}
+	w.ack.send(o.AckedEnd, s.recordAge())
 	s.orders = append(s.orders, o)
 }
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -54,6 +54,7 @@
 	s.updateActing()
 	s.lapseSilent()
 	s.accountForSilent()
+	s.logUnreached()
 	s.orderHeartbeats()
 	s.repeatStops()
 	if s.needsPlacement && s.authority.acting {
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -68,8 +68,9 @@
 			p.task(id.Index)
 		}
 	}
-	phases := map[*phase]struct{}{}
+	phases, released := map[*phase]struct{}{}, 0
 	for p := range s.heldPhases {
+		released += p.held
 		p.clearHeld()
 		phases[p] = struct{}{}
 	}
@@ -78,9 +79,13 @@
 			continue
 		}
 		s.needsPlacement = true
+		released++
 		t.fire(taskClear)
 		phases[t.phase] = struct{}{}
 	}
+	if released > 0 {
+		s.logDecision(Decision{Event: "tasks of earlier owners may start", Count: released})
+	}
 	for p := range phases {
 		// A gang makes no progress without all its members.
 		if p.spec.Gang && p.tasksPlaced > 0 && !p.gangDone {
@@ -97,7 +102,7 @@
 // unreported reports whether the worker may run, or may have ended, tasks
 // without the scheduler's knowledge.
 func (w *Worker) unreported() bool {
-	return w.inherited && w.state == workerFresh || !w.blockedSince.IsZero()
+	return w.unreached() || !w.blockedSince.IsZero()
 }
 
 // mayRunAny reports whether any task may run on the worker without the scheduler's
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -38,6 +38,7 @@
 			w.inherited, w.accounted, w.accountedRuns = true, e.Silent, e.Runs
 			w.since, w.inQuorum = e.Since, true
 			s.authority.inherit(e.Since)
+			s.reach.inherited++
 		}
 	}
 	s.authority.settledAt = time.Time{}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -113,6 +113,7 @@
 	listedAt        time.Time
 	listRequestedAt time.Duration
 	authority       authority
+	reach           reach
 	// rosterUnknown is set if earlier owners may have used workers that the restored
 	// roster lacks.
 	rosterUnknown bool
@@ -210,6 +211,7 @@
 		adviceFreedAt: map[core.Team]time.Time{}, starts: budget.New(0, 0), startTeams: map[startID]core.Team{},
 		parked: map[core.JobID]*parkedJob{}, parkedOf: map[core.Team]parkedQueue{}, parkedBytes: map[core.Team]int64{},
 		urgentParked: core.Set[core.JobID]{}, dirty: map[core.JobID]*Job{},
+		reach: reach{since: now},
 	}
 	s.resizeBudgets()
 	for _, o := range opts {
@@ -243,8 +245,6 @@
 	s.needsPlacement = true
 }
 
-func (s *Scheduler) logDecision(d Decision) { s.decisions = append(s.decisions, d) }
-
 // Decisions returns the decisions since the last call and clears them.
 func (s *Scheduler) Decisions() []Decision {
 	out := s.decisions
--- a/core/fleet/start.go
+++ b/core/fleet/start.go
@@ -24,7 +24,7 @@
 		Kind: OrderStart, Worker: f.worker.id, Task: t.ID(), Run: run,
 		Payload: t.phase.job.Spec.Payload, Checkpoint: checkpoint, Ticket: f.ticket,
 	})
-	s.logDecision(Decision{Job: t.phase.id.Job, Event: "placed", Worker: f.worker.id, Task: t.ID().String(), Run: run, Wait: s.now.Sub(t.phase.openedAt)})
+	s.logDecision(Decision{Job: t.phase.id.Job, Event: EventPlaced, Worker: f.worker.id, Task: t.ID().String(), Run: run, Wait: s.now.Sub(t.phase.openedAt)})
 }
 
 // StartAnswered handles the outcome of a start.
@@ -64,16 +64,23 @@
 	if r != ReplyOK && r != ReplyStaleRun {
 		return
 	}
+	var lastAck time.Time
+	found := false
 	if t := s.placedTask(worker, id, run); t != nil {
+		lastAck, found = t.stopAckedAt, true
 		t.stopAckedAt = now
 	}
 	if w := s.workers[worker]; w != nil {
 		for i := range w.orphans {
 			if o := &w.orphans[i]; o.task == id && o.run == run {
+				lastAck, found = o.stopAckedAt, true
 				o.stopAckedAt = now
 			}
 		}
 	}
+	if found && lastAck.IsZero() {
+		s.logDecision(Decision{Job: id.Job, Event: "stop acknowledged", Worker: worker, Task: id.String(), Run: run, Reason: r.String()})
+	}
 }
 
 // startID names a start that has not been answered.
--- a/core/fleet/task.go
+++ b/core/fleet/task.go
@@ -151,6 +151,9 @@
 // orderStop orders the worker to stop the run.
 func (t *Task) orderStop() {
 	s := t.phase.job.scheduler
+	if t.stopSentAt.IsZero() {
+		t.logRun("stop ordered", "task is "+taskChart.Name(t.state))
+	}
 	t.stopSentAt = s.now
 	s.counts.Stops++
 	s.addOrder(Order{Kind: OrderStop, Worker: t.worker.id, Task: t.ID(), Run: t.run})
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -159,6 +159,7 @@
 	// once the change numbered ackableSeq is in the store.
 	handledEnd, ackedEnd uint64
 	ackableSeq           uint64
+	ack                  ack
 
 	// slowness is the mean logarithm of actual over predicted run time.
 	slowness float64
@@ -330,6 +331,9 @@
 
 func (w *Worker) stopOrphan(i int) {
 	o := &w.orphans[i]
+	if o.stopSentAt.IsZero() {
+		w.scheduler.logDecision(Decision{Job: o.task.Job, Event: "stop ordered", Worker: w.id, Task: o.task.String(), Run: o.run, Reason: "orphaned run"})
+	}
 	o.stopSentAt = w.scheduler.now
 	w.scheduler.counts.Stops++
 	w.scheduler.addOrder(Order{Kind: OrderStop, Worker: w.id, Task: o.task, Run: o.run})
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 )
 
@@ -51,6 +52,17 @@
 	}
 }
 
+// Claim counts one claim of the ownership record.
+func (meter) Claim(reason elect.ClaimReason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_claims_total{because=%q}", reason)).Inc()
+}
+
+// Authority sets on what the owner's orders rest.
+func (meter) Authority(recordAge time.Duration, unreached int) {
+	metrics.GetOrCreateGauge("chicoryturn_record_age_seconds", nil).Set(recordAge.Seconds())
+	metrics.GetOrCreateGauge("chicoryturn_workers_unreached", nil).Set(float64(unreached))
+}
+
 // SetOwning sets whether this process owns the fleet.
 func (meter) SetOwning(isOwner bool) {
 	v := 0.0
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -92,7 +92,8 @@
 	o.announceOwner()
 	switch {
 	case claim:
-		o.log.WithFields(logrus.Fields{"epoch": rec.Epoch + 1, "last": rec.VM, "version": obs.Version, "took": took.String()}).Info("claiming ownership")
+		o.logClaim(logrus.Fields{"epoch": rec.Epoch + 1, "last": rec.VM, "version": obs.Version, "took": took.String()}, "claiming ownership")
+		o.meter.Claim(o.election.Claim().Reason)
 		o.nextWrite = now
 		o.writeRecord(now)
 	case o.election.Loading() && !wasHolder:
@@ -146,10 +147,12 @@
 	if o.scheduler == nil {
 		return
 	}
-	o.log.WithFields(logrus.Fields{"epoch": o.scheduler.Epoch(), "because": reason}).Warn("no longer the owner")
+	o.logDecisions()
+	o.log.WithFields(logrus.Fields{"epoch": o.scheduler.Epoch(), "because": reason, "confirmed": ageText(time.Since(o.scheduler.ConfirmedAt()))}).Warn("no longer the owner")
 	o.scheduler = nil
 	o.rosterToStore, o.rosterVersion, o.progressToDelete = nil, 0, nil
 	o.meter.SetOwning(false)
+	o.meter.Authority(0, 0)
 	o.peers.resetLoads()
 }
 
@@ -384,7 +387,7 @@
 	o.changesVersion = snapshot.Version
 	o.nextWorkersRead, o.nextChangesRead, o.nextTick = now, now, now
 	o.election.StateLoaded()
-	o.log.WithFields(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "parked": len(snapshot.Parked), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}).Info("owning the fleet")
+	o.logClaim(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "parked": len(snapshot.Parked), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}, "owning the fleet")
 	o.onOwner(o.announcedRecord, true)
 }
 
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -58,7 +58,7 @@
 			return
 		}
 		if err != nil {
-			o.log.WithError(err).WithFields(logrus.Fields{"worker": ord.Worker, "order": callNames[ord.Kind], "reply": r.String()}).Warn("order not confirmed")
+			o.log.WithError(err).WithFields(logrus.Fields{"worker": ord.Worker, "order": callNames[ord.Kind], "reply": r.String(), "epoch": ord.Epoch}).Warn("order not confirmed")
 		}
 		if r == fleet.ReplyOtherIncarnation {
 			o.scheduler.IncarnationEnded(now, ord.Info)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -78,6 +78,11 @@
 	Placement(took time.Duration)
 	Memory(use fleet.MemoryUse)
 	SetOwning(isOwner bool)
+	// Claim counts a claim of the ownership record by its reason.
+	Claim(reason elect.ClaimReason)
+	// Authority sets the age of the last confirmation of the ownership record and how
+	// many workers of earlier owners this owner still waits for; 0 on other processes.
+	Authority(recordAge time.Duration, unreached int)
 }
 
 // Owner is the control state of one process.
@@ -256,6 +261,9 @@
 	o.readRecord(now)
 	o.readWorkers(now)
 	next := now.Add(elect.ReadInterval)
+	if o.scheduler != nil {
+		o.meter.Authority(now.Sub(o.scheduler.ConfirmedAt()), o.scheduler.Unreached())
+	}
 	if o.scheduler != nil && maySendOrders && !o.draining {
 		o.readChanges(now)
 		o.deleteExpired(now)
@@ -296,34 +304,6 @@
 	}
 }
 
-func (o *Owner) logDecisions() {
-	for _, d := range o.scheduler.Decisions() {
-		f := logrus.Fields{}
-		if d.Job != "" {
-			f["job"] = d.Job
-		}
-		if d.Task != "" {
-			f["task"] = d.Task
-		}
-		if d.Worker != "" {
-			f["worker"] = d.Worker
-		}
-		if d.Run > 0 {
-			f["run"] = d.Run
-		}
-		if d.Wait > 0 {
-			f["after"] = d.Wait.Round(time.Millisecond).String()
-		}
-		if d.Reason != "" {
-			f["because"] = d.Reason
-		}
-		o.log.WithFields(f).Info(d.Event)
-	}
-	for _, err := range o.scheduler.RefusedEvents() {
-		o.log.WithError(err).Error("state chart refused an event")
-	}
-}
-
 // stageRoster adds the roster to the next write if it has changed.
 func (o *Owner) stageRoster() {
 	if v := o.scheduler.RosterVersion(); v != o.rosterVersion {
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -87,6 +87,8 @@
 func (*fakeDeps) Record(int, time.Duration)          {}
 func (*fakeDeps) Placement(time.Duration)            {}
 func (*fakeDeps) SetOwning(bool)                     {}
+func (*fakeDeps) Claim(elect.ClaimReason)            {}
+func (*fakeDeps) Authority(time.Duration, int)       {}
 
 // allDeps combines the dependencies of an owner.
 type allDeps interface {
@@ -96,13 +98,19 @@
 	owner.Meter
 }
 
+// withHook adds a hook to the log of an owner.
+func withHook(h logrus.Hook) func(*logrus.Logger) { return func(l *logrus.Logger) { l.AddHook(h) } }
+
 // startOwner starts an owner that runs until the test ends.
-func startOwner(t *testing.T, deps allDeps, holder core.SessionID, p *policy.Policy) *owner.Owner {
+func startOwner(t *testing.T, deps allDeps, holder core.SessionID, p *policy.Policy, opts ...func(*logrus.Logger)) *owner.Owner {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	for _, opt := range opts {
+		opt(log)
+	}
 	o := owner.New(loop.New(ctx), owner.Deps{Records: deps, Workers: deps, Lister: deps, Meter: deps}, elect.Record{Holder: holder, VM: string(holder)}, 0,
 		fleet.Limits{Lease: 6 * time.Second, RemoteFactor: 1}, log.WithField("part", "owner"))
 	go func() { _ = o.Run() }()
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -19,8 +19,11 @@
 // maxLine bounds the length of a log line in bytes.
 const maxLine = 1 << 20
 
+// timeLayout is the format of the time of day in logs.
+const timeLayout = "15:04:05.000"
+
 // printedFields are the fields that String prints, in this order.
-var printedFields = []string{"result", "queue", "task", "run", "worker", "after", "because", "took", "error"}
+var printedFields = []string{"result", "queue", "task", "run", "worker", "end", "from", "to", "epoch", "confirmed", "after", "because", "took", "error"}
 
 // endEvents are the messages that log the end of a job.
 var endEvents = core.NewSet(fleet.EndEvent(jobs.Completed), fleet.EndEvent(jobs.Failed), fleet.EndEvent(jobs.Cancelled))
@@ -50,20 +53,25 @@
 // that contain the job's name but no valid JSON. A line may have a prefix before
 // its JSON.
 func Read(r io.Reader, job string) (lines []Line, skipped int, err error) {
+	return scan(r, []string{job}, func(fields map[string]any) bool { return fields["job"] == job })
+}
+
+// scan returns the log lines that keep selects among those that contain one of the texts,
+// sorted by time, and the number of those that contain no valid JSON.
+func scan(r io.Reader, texts []string, keep func(fields map[string]any) bool) (lines []Line, skipped int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
 	for scanner.Scan() {
 		text := scanner.Text()
-		if !strings.Contains(text, job) {
+		if !slices.ContainsFunc(texts, func(s string) bool { return strings.Contains(text, s) }) {
 			continue
 		}
-		start := strings.IndexByte(text, '{')
-		var fields map[string]any
-		if start < 0 || json.Unmarshal([]byte(text[start:]), &fields) != nil {
+		fields, ok := decode(text)
+		if !ok {
 			skipped++
 			continue
 		}
-		if fields["job"] == job {
+		if keep(fields) {
 			lines = append(lines, newLine(fields))
 		}
 	}
@@ -74,6 +82,19 @@
 	return lines, skipped, nil
 }
 
+// decode returns the JSON fields of a line. Numbers keep their digits: those of runs and ends
+// are large.
+func decode(text string) (fields map[string]any, ok bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return nil, false
+	}
+	d := json.NewDecoder(strings.NewReader(text[start:]))
+	d.UseNumber()
+	err := d.Decode(&fields)
+	return fields, err == nil
+}
+
 // newLine returns the line with the given JSON fields.
 func newLine(fields map[string]any) Line {
 	l := Line{Fields: map[string]string{}}
@@ -154,9 +175,8 @@
 	if len(lines) == 0 {
 		return 0
 	}
-	const layout = "15:04:05.000"
-	first, firstErr := time.Parse(layout, lines[0].At)
-	last, lastErr := time.Parse(layout, lines[len(lines)-1].At)
+	first, firstErr := time.Parse(timeLayout, lines[0].At)
+	last, lastErr := time.Parse(timeLayout, lines[len(lines)-1].At)
 	if firstErr != nil || lastErr != nil {
 		return 0
 	}
