An ended job is forgotten only once the store's jobs have been read since

Cause: the owner forgot the ended job after its retention, although the feed of changes had not been read since it was stored; the next read returned it, and it was taken for new. Change: a job is forgotten only if a read that was sent after its end has succeeded. Placement passes follow only confirmations that something waits for. Three tests that forget jobs now say that the store has been read.

--- a/core/fleet/authority.go
+++ b/core/fleet/authority.go
@@ -69,8 +69,8 @@
 	if !sentAt.After(s.authority.confirmedAt) {
 		return
 	}
+	s.needsPlacement = s.needsPlacement || s.WantsConfirmation()
 	s.authority.confirmedAt = sentAt
-	s.needsPlacement = true
 	s.resolveRecovered()
 }
 
@@ -110,8 +110,8 @@
 }
 
 // hasQuorum reports whether more than half of the workers that the stored roster may name
-// have obeyed this owner lately. A successor that has answers of the other half can be sure that this
-// one has stopped.
+// have obeyed this owner lately. A successor that has answers of the other half can be sure
+// that this one has stopped.
 func (s *Scheduler) hasQuorum() bool {
 	reached := 0
 	for _, w := range s.sortedWorkers {
--- a/core/fleet/memory_test.go
+++ b/core/fleet/memory_test.go
@@ -363,6 +363,7 @@
 	is.Equal(n, 1)
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
 	f.advance(time.Minute)
+	f.JobsRead(f.now)
 	is.Equal(f.ForgetExpired(f.now, time.Second, 10), []core.JobID{"j"})
 }
 
--- a/core/fleet/place_test.go
+++ b/core/fleet/place_test.go
@@ -327,6 +327,7 @@
 	f.Batch()
 	f.BatchStored(f.now)
 	f.advance(59 * time.Second)
+	f.JobsRead(f.now)
 	is.Equal(len(f.ForgetExpired(f.now, time.Minute, 10)), 0)
 	_, known := f.State("j")
 	is.True(known)
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"chicoryturn/core"
 	"chicoryturn/core/jobs"
@@ -14,6 +15,9 @@
 	return !j.ended() && j.Spec.FirstEpoch < j.scheduler.recoverBefore
 }
 
+// JobsRead records that all jobs that were in the store at sentAt have been passed on.
+func (s *Scheduler) JobsRead(sentAt time.Time) { s.jobsReadAt = sentAt }
+
 // adoptUnknownRuns gives a new job the runs that workers have listed before the scheduler
 // knew the job.
 func (s *Scheduler) adoptUnknownRuns(j *Job) {
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -168,6 +168,7 @@
 		f.Cancel(f.now, id)
 	}
 	f.Tick(f.now)
+	f.JobsRead(f.now.Add(time.Nanosecond))
 	for len(f.Batch()) > 0 {
 		f.BatchStored(f.now)
 	}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -315,8 +315,9 @@
 	return seen
 }
 
-// JobsRead records that all jobs that were in the store at sentAt have been passed on.
-func (s *Scheduler) JobsRead(sentAt time.Time) { s.jobsReadAt = sentAt }
+// wasRead reports whether the jobs in the store have been read since a job ended. Before, a
+// read may return that job, which would run again if it had been forgotten.
+func (s *Scheduler) wasRead(c closedJob) bool { return s.jobsReadAt.After(c.storedAt) }
 
 // Load adds the stored jobs with their progress. Tasks that an earlier owner
 // may have started may still be running. It parks the jobs for which there is no memory.
@@ -448,7 +449,7 @@
 
 // trimClosed forgets the oldest ended jobs above maxClosedJobs.
 func (s *Scheduler) trimClosed() {
-	for ; len(s.closed)-s.trimmed > s.maxClosed(); s.trimmed++ {
+	for ; len(s.closed)-s.trimmed > s.maxClosed() && s.wasRead(s.closed[s.trimmed]); s.trimmed++ {
 		s.forget(s.closed[s.trimmed].job)
 	}
 }
@@ -465,7 +466,7 @@
 // longer than keep ago, so that their rows can be deleted.
 func (s *Scheduler) ForgetExpired(now time.Time, keep time.Duration, limit int) []core.JobID {
 	var out []core.JobID
-	for len(s.closed) > 0 && len(out) < limit && now.Sub(s.closed[0].storedAt) > keep {
+	for len(s.closed) > 0 && len(out) < limit && now.Sub(s.closed[0].storedAt) > keep && s.wasRead(s.closed[0]) {
 		out = append(out, s.forgetOldest())
 	}
 	return out
