A lease that counts as expired is not extended before it has ended

Cause: an owner restarts the tasks of a silent worker once the lease there has expired by its reckoning, 50 ms past the slowest clock that is allowed. A worker that ends its lease later than that (short of processor time, or its clock has stood still) and answers in between was live again at once: its lease was extended, so that it never ended, and its ends were acknowledged as any others.

Whether the users' record has this cause isn't known.

Change: such a worker stays lapsed until its own clock is half a second past the end of the longest lease granted. Its ends are handled meanwhile, so that a second run is stopped, but none is acknowledged. A worker that answers later, as after any cut, is live at once as before.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -59,6 +59,7 @@
 	}
 	w.incarnation = l.Incarnation
 	w.setIncarnation(l.Incarnation)
+	leaseMayGoOn := w.leaseMayGoOn(l.Clock)
 	if w.answeredAt.IsZero() {
 		// An earlier owner may have granted a full lease just before this
 		// answer.
@@ -69,6 +70,10 @@
 	}
 	w.endAccount()
 	w.logAcked(l.Ended)
+	if leaseMayGoOn {
+		w.applyEnds(l.Ended)
+		return
+	}
 	w.fire(workerAnswer)
 	if w.state == workerGone {
 		return
--- a/core/fleet/proof.go
+++ b/core/fleet/proof.go
@@ -10,6 +10,10 @@
 // shows that it was not removed by time-out, for the store's rounding.
 const drainMargin = 500 * time.Millisecond
 
+// lapseDelay is how long after its lease has ended, by its own clock, a worker that is short of
+// processor time may notice.
+const lapseDelay = 500 * time.Millisecond
+
 // proof is why all runs that any owner has started on a worker have certainly ended.
 type proof string
 
@@ -52,6 +56,13 @@
 	return clock > w.leaseUntil+leaseSlack
 }
 
+// leaseMayGoOn reports whether the lease of a worker that counts as expired may not have ended
+// there, as an answer shows that was given at clock: its clock has stood still, or it has not
+// acted on it yet. Until it has, the lease is not extended and no end is acknowledged.
+func (w *Worker) leaseMayGoOn(clock time.Duration) bool {
+	return w.state == workerLapsed && !w.answeredAt.IsZero() && clock <= w.leaseUntil+lapseDelay
+}
+
 // hasDrained reports whether the entry of a worker that is missing from a list received
 // at the given time was removed because the worker drained: it was leaving, and its last
 // renewal is too recent for a removal by time-out.
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -181,3 +182,43 @@
 	}
 	is.Equal(len(deleted), count)
 }
+
+// TestExpiredLeaseIsNotExtended guards against a run that ends as done on a worker whose lease
+// counts as expired, and that is taken note of there although its task has started again.
+func TestExpiredLeaseIsNotExtended(t *testing.T) {
+	for name, late := range map[string]time.Duration{"its clock has stood still": -2 * time.Second, "it ends its lease late": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, 2)
+			first := f.startTask()
+			other := f.workers[slices.IndexFunc(f.workers, func(w fleet.WorkerInfo) bool { return w.ID() != first.Worker })]
+			var second []fleet.Order
+			for len(second) == 0 {
+				f.advance(100 * time.Millisecond)
+				f.HeartbeatFailed(f.now, first.Worker)
+				f.heartbeat(other, nil, nil)
+				second = f.nextOrders(fleet.OrderStart)
+			}
+			f.confirmStarts(second)
+			running := []fleet.ActiveRun{{Task: second[0].Task, Run: second[0].Run}}
+
+			leaseEnd := first.LeaseUntil
+			answer := func(clock time.Duration) fleet.Order {
+				f.HeartbeatAnswered(f.now, first.Worker, f.now, fleet.RunLists{Clock: clock, Incarnation: first.Info.Incarnation, Ended: doneEnd(1, first)})
+				f.heartbeat(other, running, nil)
+				f.BatchStored(f.now)
+				f.Batch()
+				f.BatchStored(f.now)
+				f.advance(500 * time.Millisecond)
+				orders := f.nextOrders(fleet.OrderHeartbeat)
+				return orders[slices.IndexFunc(orders, func(o fleet.Order) bool { return o.Worker == first.Worker })]
+			}
+			next := answer(leaseEnd + late)
+			is.Equal(next.LeaseUntil, time.Duration(0))
+			is.Equal(next.AckedEnd, uint64(0))
+			answer(leaseEnd + time.Second)
+			next = answer(leaseEnd + 2*time.Second)
+			is.Equal(next.AckedEnd, uint64(1))
+		})
+	}
+}
