A parked job isn't taken back from a load

What callers saw: an occurrence of a repeated job runs again after its ends have been stored and acknowledged, under the same owner and epoch.

Cause: a load beside a scheduler (the feed has been compacted) reads the progress of a job, the job's occurrence ends, and the job is parked, as it is far from due and others need the room. When the load arrives, the job isn't in memory, so that it was unparked with the older progress.

Evidence, before: TestParkedJobIgnoresLoad "1 != 0" starts after the load.

Why it works: nothing changes the rows of a job while it is parked, and it comes back only by a read of them that has begun while it was parked (ParkedRead). A load that names it is passed over; it is read when it is due and there is room, as before.

Result: go test ./core/fleet -run 'Forg|Park|Closed|Trim|LostState|RandomMemory|Load' holds.

--- a/core/fleet/memory_test.go
+++ b/core/fleet/memory_test.go
@@ -292,6 +292,35 @@
 	is.Equal(state, jobs.Cancelled)
 }
 
+// TestParkedJobIgnoresLoad guards against occurrences that run again because a load, which has
+// read the progress of a job before they ended, takes the job back after it has been parked.
+func TestParkedJobIgnoresLoad(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 1).withMemory(2 << 20)
+	f.registerWorkers()
+	spec := shape{10, 1, 1, 0, time.Hour}.job("j")
+	f.Accept(f.now, spec)
+	starts := f.nextOrders(fleet.OrderStart)
+	is.Equal(len(starts), 1)
+	f.confirmStarts(starts)
+	f.advance(time.Second)
+	f.heartbeat(starts[0].Info, nil, doneEnd(1, starts[0]))
+	f.store()
+	var stubs []fleet.Stub
+	for i := range 300 { // due at once, and more than fit
+		other := newJob(fmt.Sprint("now", i), 1, false)
+		other.Payload = string(make([]byte, 4000))
+		stubs = append(stubs, fleet.NewStub(&other))
+	}
+	f.Park(f.now, stubs)
+	f.ParkedToRead(f.now)
+	f.ParkedRead(f.now, nil, nil, nil, fmt.Errorf("the store is down"))
+	_, known := f.State("j")
+	is.True(!known) // parked
+	f.Load(f.now, []jobs.Spec{spec}, nil)
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+}
+
 // TestHeldNamesParkedTeam checks what other VMs learn of parked jobs: their team has no
 // more room, other teams have.
 func TestHeldNamesParkedTeam(t *testing.T) {
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -324,27 +324,24 @@
 	s.load(specs, progress, false)
 }
 
-// load is Load; if holdAll is set, it parks no job.
-func (s *Scheduler) load(specs []jobs.Spec, progress map[core.JobID]jobs.Progress, holdAll bool) {
+// load is Load, or adds the rows of parked jobs, of which it parks none again.
+func (s *Scheduler) load(specs []jobs.Spec, progress map[core.JobID]jobs.Progress, rowsOfParked bool) {
 	slices.SortFunc(specs, func(x, y jobs.Spec) int { return x.Accepted.Compare(y.Accepted) })
 	for _, spec := range specs {
 		recorded := progress[spec.ID]
 		if s.jobs[spec.ID] != nil || s.isForLaterOwner(spec.FirstEpoch) {
 			continue
 		}
-		if !holdAll && s.readAgain(loadedStub(&spec, &recorded), "loaded") {
+		p := s.parked[spec.ID]
+		// A parked job may have made progress since it was loaded.
+		if !rowsOfParked && (p != nil || s.readAgain(loadedStub(&spec, &recorded), "loaded")) {
 			continue
 		}
-		cancelled := false
-		if p := s.parked[spec.ID]; p != nil {
-			cancelled = p.cancelled
+		if p != nil {
 			s.unpark(p)
 		}
-		if !holdAll && !recorded.State.Final() && !s.accepted.AdmitsOne(spec.Team, spec.Bytes()) {
-			s.park(&parkedJob{Stub: loadedStub(&spec, &recorded), cancelled: cancelled})
-			if cancelled {
-				s.urgentParked.Add(spec.ID)
-			}
+		if !rowsOfParked && !recorded.State.Final() && !s.accepted.AdmitsOne(spec.Team, spec.Bytes()) {
+			s.park(&parkedJob{Stub: loadedStub(&spec, &recorded)})
 			continue
 		}
 		j := s.add(spec)
@@ -357,7 +354,7 @@
 		s.adoptUnknownRuns(j)
 		s.addDue(j)
 		j.completeIfDone()
-		if cancelled {
+		if p != nil && p.cancelled {
 			j.cancel()
 		}
 	}
