An owner that has lost its state claims a new epoch

Cause: after a panic, or when it stepped down and its record still named it, a process made a new scheduler in the same epoch. What the former one had in flight was told by the epoch alone: a load of the state that had begun before the ends of jobs were stored made the new scheduler; the answer to a heartbeat from before a start marked the worker as reported, and the task was started once more; orders of the former one weren't refused by the worker's fence, and run numbers could be given twice. A renewal in flight made the process the holder again, too.

Why it works: elect keeps the epoch of which the state is lost. Neither a read nor a write that shows the record under it makes the process the holder again; the read leads to a claim of the next epoch without waiting (reason state-lost). From there it is a successor like any other: everything of the former epoch is dropped by the checks that there are, and the workers refuse its orders. While nothing has been decided under an epoch (a panic before the load) the epoch is kept. fleet.WithLostState, which stood in for this, is gone.

Tests that change: TestJobOfLaterOwner expected a job of epoch 2 to be left alone by the owner of epoch 1 after it had stepped down and won the same epoch again. It now owns epoch 2, so that job is its own and must be known; a job of epoch 3 must be left alone, and one load more and no other step down is expected as before. TestLostState and TestLostStateWaitsForLeases used WithLostState; they make the same demands of the scheduler of the next epoch, and TestLostStateNeedsNewEpoch of the time from which it reckons.

--- a/core/elect/claim.go
+++ b/core/elect/claim.go
@@ -13,6 +13,9 @@
 	ClaimResigned ClaimReason = "resigned"
 	// ClaimSameVM means that an earlier process on the claimant's VM held the record.
 	ClaimSameVM ClaimReason = "same-vm"
+	// ClaimStateLost means that the claimant itself held the record and has lost the state
+	// of its epoch.
+	ClaimStateLost ClaimReason = "state-lost"
 	// ClaimEnded means that the holder seemed to have ended.
 	ClaimEnded ClaimReason = "ended"
 	// ClaimSuspected means that the record had not changed for SuspectTTL and its holder
--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -128,6 +128,9 @@
 	replacedAt time.Time
 	// claim is the last claim of this process.
 	claim Claim
+	// lostEpoch is the latest epoch of which this process has lost the state. It holds the
+	// record under a later one only: calls of the lost epoch may still be on their way.
+	lostEpoch core.Epoch
 }
 
 // New returns the view of a process that has not read the ownership record yet.
@@ -240,7 +243,7 @@
 		e.changedAt = now
 	}
 	e.record, e.version, e.readAt = rec, version, now
-	if holdsRecord && version > 0 {
+	if holdsRecord && version > 0 && rec.Epoch > e.lostEpoch {
 		// A claim without an answer has taken effect.
 		e.confirm(o.SentAt)
 		e.fire(eventWon)
@@ -251,6 +254,8 @@
 	}
 	wait, reason := e.claimDelay, ClaimExpired
 	switch {
+	case holdsRecord:
+		wait, reason = 0, ClaimStateLost
 	case rec.Holder == "":
 		reason = ClaimResigned
 		if version == 0 {
@@ -291,9 +296,11 @@
 	return e.record.Holder != "" && (e.record.Holder == e.endedHolder || e.record.Holder == e.suspectHolder)
 }
 
-// Superseded gives up ownership, if held, because a later owner is known.
-func (e *Election) Superseded() {
+// StateLost gives up ownership, if held, because the process has dropped what it had decided
+// under its epoch. If the record still names this process, it claims a new epoch at once.
+func (e *Election) StateLost() {
 	if e.IsHolder() {
+		e.lostEpoch = e.record.Epoch
 		e.fire(eventLost)
 		e.changedAt = time.Time{}
 	}
@@ -325,6 +332,9 @@
 func (e *Election) WriteSucceeded(now, sentAt time.Time, rec Record, version uint64, storeClock time.Duration) {
 	e.setStoreClock(now, storeClock)
 	e.record, e.version, e.readAt, e.changedAt, e.outcomeUnknown = rec, version, now, now, false
+	if rec.Epoch <= e.lostEpoch {
+		return
+	}
 	e.confirm(sentAt)
 	if sentAt.After(e.renewedAt) {
 		e.renewedAt = sentAt
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -239,6 +239,40 @@
 	is.Equal(e.RenewedAt(), at(110))
 }
 
+// TestLostStateNeedsNewEpoch guards against an owner that has dropped its state and goes on under
+// its epoch, with the calls of that epoch still on their way.
+func TestLostStateNeedsNewEpoch(t *testing.T) {
+	is := is.New(t)
+	e, rec := newOwner()
+	e.StateLost()
+	is.True(!e.IsHolder())
+	// A renewal that was in flight has taken effect.
+	e.WriteSucceeded(at(100), at(20), rec, 8, 0)
+	is.True(!e.IsHolder())
+	is.Equal(e.RenewedAt(), at(10))
+	is.True(e.Observe(at(120), elect.Observation{Record: rec, Version: 8, SentAt: at(110)}))
+	is.True(!e.IsHolder())
+	is.Equal(e.ConfirmedAt(), at(10))
+	is.Equal(e.Claim().Reason, elect.ClaimStateLost)
+	claim, version := e.NextRecord(at(120))
+	is.Equal(claim.Epoch, rec.Epoch+1)
+	is.Equal(version, uint64(8))
+	e.WriteUnknown()
+	is.True(!e.Observe(at(200), elect.Observation{Record: claim, Version: 9, SentAt: at(190)}))
+	is.True(e.Loading())
+	is.Equal(e.ReplacedAt(), at(100))
+}
+
+// TestLostStateAfterClaimByOther checks that a process which has dropped its state leaves the
+// record to the one that has claimed it meanwhile.
+func TestLostStateAfterClaimByOther(t *testing.T) {
+	is := is.New(t)
+	e, _ := newOwner()
+	e.StateLost()
+	is.True(!e.Observe(at(100), elect.Observation{Record: otherRecord(1), Version: 8, SentAt: at(90)}))
+	is.True(!e.IsHolder())
+}
+
 func TestClaimAfterResignation(t *testing.T) {
 	is := is.New(t)
 	e := newElection()
--- a/core/fleet/authority_test.go
+++ b/core/fleet/authority_test.go
@@ -219,13 +219,12 @@
 	}
 }
 
-// TestLostStateWaitsForLeases guards against an owner that has lost its state (after a panic)
-// minutes after its claim and starts at once what its own former scheduler has started.
+// TestLostStateWaitsForLeases guards against an owner that has lost its state (after a panic),
+// has claimed a new epoch and starts at once what its own former scheduler has started.
 func TestLostStateWaitsForLeases(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2, 4)
-	f.Scheduler = fleet.New(f.now, 2, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, newPolicy(core.Resources{}),
-		fleet.WithReplacedAt(f.now.Add(-10*time.Minute)), fleet.WithLostState())
+	f.Scheduler = fleet.New(f.now, 3, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, newPolicy(core.Resources{}), fleet.WithReplacedAt(f.now))
 	f.RestoreRoster(rosterOf(f.workers))
 	f.Load(f.now, []jobs.Spec{newJob("j", 1, false)}, nil)
 	for ; f.now.Sub(startTime) < 6*time.Second; f.advance(100 * time.Millisecond) {
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -12,7 +12,7 @@
 
 // mayHaveStarted reports whether an earlier owner may have started tasks of the job.
 func (j *Job) mayHaveStarted() bool {
-	return !j.ended() && j.Spec.FirstEpoch < j.scheduler.recoverBefore
+	return !j.ended() && j.Spec.FirstEpoch < j.scheduler.epoch
 }
 
 // JobsRead records that all jobs that were in the store at sentAt have been passed on.
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -120,9 +120,6 @@
 	// allReported is set once the runs of earlier owners are known, except on workers
 	// whose roster entries name them.
 	allReported bool
-	// The tasks of a job whose FirstEpoch is lower than recoverBefore may have
-	// been started by an earlier owner, or by this one before it lost its state.
-	recoverBefore core.Epoch
 
 	// dirty holds the jobs whose progress must be stored, inFlight those in the
 	// batch whose outcome is not known yet.
@@ -183,15 +180,6 @@
 // Option configures a new Scheduler.
 type Option func(*Scheduler)
 
-// WithLostState marks an owner that has already made decisions under its epoch
-// and has lost its state. It counts as one of the earlier owners itself.
-func WithLostState() Option {
-	return func(s *Scheduler) {
-		s.allReported, s.recoverBefore = false, s.epoch+1
-		s.authority.replacedAt = s.now
-	}
-}
-
 // WithUnknownRoster marks an owner that does not know all workers that earlier ones may
 // have used.
 func WithUnknownRoster() Option { return func(s *Scheduler) { s.rosterUnknown = true } }
@@ -199,7 +187,7 @@
 // New returns a scheduler without jobs and workers for a new owner's epoch.
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Scheduler {
 	s := &Scheduler{
-		epoch: epoch, recoverBefore: epoch, now: now, allReported: epoch <= 1,
+		epoch: epoch, now: now, allReported: epoch <= 1,
 		authority: authority{replacedAt: now, acting: true},
 		limits:    limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -363,13 +363,14 @@
 	}
 }
 
-// TestLostState checks an owner that has lost the decisions it made in its epoch. It must
-// assume that any task may have been started until all workers have answered.
+// TestLostState checks an owner that has lost the decisions it made in its epoch, and goes on
+// under the next one. It must assume that any task may have been started until all workers
+// have answered.
 func TestLostState(t *testing.T) {
 	for _, epoch := range []core.Epoch{1, 2} {
 		is := is.New(t)
 		f := newFixture(epoch, 2)
-		f.Scheduler = fleet.New(startTime, epoch, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, newPolicy(core.Resources{}), fleet.WithLostState())
+		f.Scheduler = fleet.New(startTime, epoch+1, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, newPolicy(core.Resources{}))
 		f.RestoreRoster(rosterOf(f.workers))
 		j := newJob("j", 1, false)
 		j.FirstEpoch = epoch
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -156,9 +156,11 @@
 	o.peers.resetLoads()
 }
 
-// stepDown ends this process's ownership because a later owner exists.
+// stepDown ends this process's ownership because a later owner may exist, or because the
+// scheduler's state can't be used any more. If the ownership record still names this process,
+// it claims a new epoch.
 func (o *Owner) stepDown(now time.Time, reason string) {
-	o.election.Superseded()
+	o.election.StateLost()
 	o.discardScheduler(reason)
 	o.nextRecordRead = now
 }
@@ -356,14 +358,10 @@
 	}
 	if o.scheduler == nil {
 		opts := []fleet.Option{fleet.WithReplacedAt(o.election.ReplacedAt())}
-		if epoch == o.lastOwnedEpoch {
-			// An earlier scheduler of this process has made decisions in this epoch.
-			opts = append(opts, fleet.WithLostState())
-		}
 		if len(snapshot.RosterErrors) > 0 {
 			opts = append(opts, fleet.WithUnknownRoster())
 		}
-		o.scheduler, o.lastOwnedEpoch = fleet.New(now, epoch, o.limits, o.policy, opts...), epoch
+		o.scheduler = fleet.New(now, epoch, o.limits, o.policy, opts...)
 		o.scheduler.RestoreRoster(snapshot.Roster)
 		o.scheduler.Renewed(o.election.RenewedAt())
 		o.scheduler.Confirmed(o.election.ConfirmedAt())
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -102,10 +102,8 @@
 	policy     *policy.Policy
 	// scheduler is nil unless the process owns the fleet.
 	scheduler *fleet.Scheduler
-	// lastOwnedEpoch is the epoch of the last scheduler of this process.
-	lastOwnedEpoch core.Epoch
 	// yieldedToEpoch is the latest epoch, named by a job, for which the process has
-	// stepped down. If the process still holds the ownership record afterwards, the
+	// stepped down. If the process then owns the fleet again under an earlier epoch, the
 	// job is at fault, and the process schedules the other jobs.
 	yieldedToEpoch core.Epoch
 	peers          *peers
@@ -243,13 +241,16 @@
 	})
 }
 
-// Recover implements loop.Recoverer. The scheduler may be inconsistent after a panic:
-// the process loads the stored state again, as after any loss of its own state.
-func (o *Owner) Recover(_ time.Time, err error) {
+// Recover implements loop.Recoverer. The scheduler may be inconsistent after a panic: the
+// process drops it, and claims a new epoch to load the stored state under.
+func (o *Owner) Recover(now time.Time, err error) {
 	o.log.WithError(err).Error("panic in the control goroutine; the message is lost")
 	o.unappliedSnapshot = nil
-	o.discardScheduler("a panic")
-	if o.election.IsHolder() {
+	switch {
+	case o.scheduler != nil:
+		o.stepDown(now, "a panic")
+	case o.election.IsHolder():
+		// Nothing has been decided under this epoch.
 		o.retryLoad()
 	}
 }
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -210,7 +210,7 @@
 	is.Equal(deps.loads, 1)
 }
 
-// laggingStore is a store whose feed holds a job of epoch 2 while the ownership record
+// laggingStore is a store whose feed holds jobs of epochs 2 and 3 while the ownership record
 // still names the owner of epoch 1.
 type laggingStore struct {
 	*fakeDeps
@@ -234,12 +234,16 @@
 func (l *laggingStore) Changes(context.Context, uint64) (record.Snapshot, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return record.Snapshot{Version: 1, Specs: []jobs.Spec{{ID: "j", Team: "t", Queue: "q", FirstEpoch: 2, Phases: []jobs.Phase{{Count: 1}}}}}, nil
+	return record.Snapshot{Version: 1, Specs: []jobs.Spec{
+		{ID: "next", Team: "t", Queue: "q", FirstEpoch: 2, Phases: []jobs.Phase{{Count: 1}}},
+		{ID: "later", Team: "t", Queue: "q", FirstEpoch: 3, Phases: []jobs.Phase{{Count: 1}}},
+	}}, nil
 }
 
-// TestJobOfLaterOwner supplies a job of a later owner through the feed. The process
-// must step down, then read the ownership record and load a snapshot again. Since it
-// still holds the record, it must then schedule the other jobs.
+// TestJobOfLaterOwner supplies jobs of later owners through the feed. The process must
+// step down once and read the ownership record. Since that still names it, it must own
+// the fleet under the next epoch, load a snapshot again, and schedule the job of that
+// epoch, but not that of a later one.
 func TestJobOfLaterOwner(t *testing.T) {
 	is := is.New(t)
 	l := &laggingStore{fakeDeps: &fakeDeps{}}
@@ -248,10 +252,16 @@
 	l.fakeDeps.mu.Lock()
 	defer l.fakeDeps.mu.Unlock()
 	is.Equal(l.loads, 2)
-	_, known, isOwner, err := o.State(t.Context(), "j")
+	_, known, isOwner, err := o.State(t.Context(), "next")
 	is.NoErr(err)
 	is.True(isOwner)
+	is.True(known)
+	_, known, _, err = o.State(t.Context(), "later")
+	is.NoErr(err)
 	is.True(!known)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	is.Equal(l.record.Epoch, core.Epoch(2))
 }
 
 // restartedWorker is a fake of a worker whose incarnation is newer than the one in the
