A part of the feed doesn't count for all stored jobs

Found by reading.

Cause: each answer of the feed counted as all jobs that were stored when it was asked for. The platform's page promises changed rows in order, from which to continue, not all of them. The end of a run of an unknown job was acknowledged 5 s later though that job was in a part still to come, and closed jobs were forgotten that a later part brings in again.

Evidence, before: TestEndWaitsForWholeFeed "parts behind the owner's writes": acknowledged, "true != false". Whether the platform's feed ever answers in parts is not known.

Why it works: an empty answer is whole. One with rows counts for the jobs that were stored before the owner's last confirmed write was sent, if it reaches the version of that write, as versions are given in the order of transactions; so a busy feed holds nothing up (the test's other case). One that reaches less is followed by the next read at once. What has been read never counts as less later (JobsRead), as the time of a write may be older than that of an empty answer before it.

Result: the test holds in both cases; TestOwnerWrite checks Whole.

--- a/core/fleet/parked.go
+++ b/core/fleet/parked.go
@@ -74,7 +74,7 @@
 func (s *Scheduler) Park(now time.Time, stubs []Stub) {
 	s.now = now
 	for i, stub := range stubs {
-		if s.jobs[stub.ID] != nil || s.parked[stub.ID] != nil || s.isForLaterOwner(stub.FirstEpoch) || s.readAgain(stub, "loaded") {
+		if s.jobs[stub.ID] != nil || s.parked[stub.ID] != nil || s.isForLaterOwner(stub.FirstEpoch) || s.readAgain(stub, "was loaded") {
 			continue
 		}
 		s.park(&parkedJob{Stub: stub})
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -16,7 +16,11 @@
 }
 
 // JobsRead records that all jobs that were in the store at sentAt have been passed on.
-func (s *Scheduler) JobsRead(sentAt time.Time) { s.jobsReadAt = sentAt }
+func (s *Scheduler) JobsRead(sentAt time.Time) {
+	if sentAt.After(s.jobsReadAt) {
+		s.jobsReadAt = sentAt
+	}
+}
 
 // adoptUnknownRuns gives a new job the runs that workers have listed before the scheduler
 // knew the job.
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -267,7 +267,7 @@
 	if s.jobs[spec.ID] != nil || s.parked[spec.ID] != nil || s.isForLaterOwner(spec.FirstEpoch) {
 		return false
 	}
-	if s.readAgain(NewStub(&spec), "accepted or read") {
+	if s.readAgain(NewStub(&spec), "came in by a message or the feed") {
 		return false
 	}
 	if !s.accepted.AdmitsOne(spec.Team, spec.Bytes()) {
@@ -322,7 +322,7 @@
 		}
 		p := s.parked[spec.ID]
 		// A parked job may have made progress since it was loaded.
-		if !rowsOfParked && (p != nil || s.readAgain(loadedStub(&spec, &recorded), "loaded")) {
+		if !rowsOfParked && (p != nil || s.readAgain(loadedStub(&spec, &recorded), "was loaded")) {
 			continue
 		}
 		if p != nil {
--- a/io/owner/lost_test.go
+++ b/io/owner/lost_test.go
@@ -32,6 +32,8 @@
 	active   []fleet.ActiveRun
 	ended    []fleet.EndedRun
 	starts   []fleet.Order
+	// changes replaces the feed, if it is set.
+	changes func() (record.Snapshot, error)
 	// compacted makes the next read of the feed fail, panics the next tick.
 	compacted, panics bool
 	// While it is not nil, loads, or heartbeats, wait for holdLoads or holdLists to be
@@ -99,6 +101,9 @@
 		l.compacted = false
 		return record.Snapshot{}, &table.CompactedError{Version: 1}
 	}
+	if l.changes != nil {
+		return l.changes()
+	}
 	return record.Snapshot{}, nil
 }
 
@@ -254,3 +259,38 @@
 	is.Equal(lines[0].Data["epoch"], core.Epoch(1))
 	is.Equal(lines[1].Data["epoch"], core.Epoch(2))
 }
+
+// TestEndWaitsForWholeFeed guards against the acknowledgement of an end whose job is stored and
+// comes in with a later part of the feed: the job would run again. Parts that reach a write of
+// the owner show that all jobs stored before it have come in, and the end waits no longer.
+func TestEndWaitsForWholeFeed(t *testing.T) {
+	const first = 100 // version of the ownership record at the start
+	for name, c := range map[string]struct {
+		version func(row *sharedRow) uint64
+		acked   bool
+	}{
+		"parts behind the owner's writes": {func(*sharedRow) uint64 { return first - 1 }, false},
+		"parts that reach them":           {func(row *sharedRow) uint64 { return row.version }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			l := newLossyDeps()
+			l.row.version = first
+			l.row.record.Epoch = 1
+			other := lossySpec
+			other.ID = "other"
+			l.changes = func() (record.Snapshot, error) {
+				l.row.mu.Lock()
+				defer l.row.mu.Unlock()
+				return record.Snapshot{Specs: []jobs.Spec{other}, Version: c.version(l.row)}, nil
+			}
+			l.active = []fleet.ActiveRun{{Task: jobs.TaskID{PhaseID: jobs.PhaseID{Job: "unread"}}, Run: 1}}
+			l.endRuns()
+			l.start(t)
+			l.untilLogged(t, "owning the fleet", 1)
+			time.Sleep(7 * time.Second)
+			is.Equal(len(l.hook.withMessage(fleet.EventAcked)) > 0, c.acked)
+		})
+	}
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -320,6 +320,10 @@
 	}
 	o.changesReadInFlight = true
 	after, epoch := o.changesVersion, o.scheduler.Epoch()
+	// Every job that was stored before the last confirmed write was sent has an earlier
+	// version than the ownership record.
+	_, recordVersion := o.election.Record()
+	renewedAt := o.election.RenewedAt()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		sentAt := time.Now()
 		changes, err := guard.Call(func() (record.Snapshot, error) { return o.records.Changes(ctx, after) })
@@ -330,8 +334,14 @@
 				return
 			}
 			o.handleChanges(now, changes, err)
-			if err == nil && o.scheduler != nil {
+			switch {
+			case err != nil || o.scheduler == nil:
+			case changes.Whole:
 				o.scheduler.JobsRead(sentAt)
+			case recordVersion > 0 && changes.Version >= recordVersion:
+				o.scheduler.JobsRead(renewedAt)
+			case changes.Version > after:
+				o.nextChangesRead = now
 			}
 		}
 	})
--- a/io/record/load.go
+++ b/io/record/load.go
@@ -31,8 +31,11 @@
 	// RosterErrors holds one error for each row of the roster that could not be decoded.
 	// Earlier owners may have used workers that Roster lacks.
 	RosterErrors []error
-	// Version is the version from which Changes continues.
+	// Version is the version from which Changes continues. Nothing up to it is missing.
 	Version uint64
+	// Whole is set by Changes if it has read all changes up to the time of the call. An
+	// answer with rows may be a part of them.
+	Whole bool
 	// RowErrors holds one error for each row that could not be decoded.
 	RowErrors []error
 	// filter selects the jobs of a load; nil keeps all of them.
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -215,7 +215,7 @@
 			out.addJob(r)
 		}
 	}
-	out.Version = max(ch.Version, after)
+	out.Version, out.Whole = max(ch.Version, after), len(ch.Rows) == 0
 	return out, nil
 }
 
--- a/io/record/store_test.go
+++ b/io/record/store_test.go
@@ -365,6 +365,10 @@
 	is.NoErr(err)
 	is.Equal(len(changes.Specs), 1)
 	is.Equal(changes.Specs[0].ID, core.JobID("d"))
+	is.True(!changes.Whole) // the store may have more
+	changes, err = s.Changes(ctx, changes.Version)
+	is.NoErr(err)
+	is.True(changes.Whole)
 }
 
 // TestLargeJob accepts a job that is too large for a row, which must be refused at
