Log the version of a loaded state, and whether it came beside a scheduler

What callers saw: nothing; from the log it couldn't be told from which state an owner had made its scheduler, nor a load after a loss of the state from one after a compaction of the feed: both were lines "owning the fleet" of one epoch.

TestNewEpochAfterPanic checks the fields.

--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -356,7 +356,8 @@
 		o.unappliedSnapshot = &loaded
 		return
 	}
-	if o.scheduler == nil {
+	beside := o.scheduler != nil
+	if !beside {
 		opts := []fleet.Option{fleet.WithReplacedAt(o.election.ReplacedAt())}
 		if len(snapshot.RosterErrors) > 0 {
 			opts = append(opts, fleet.WithUnknownRoster())
@@ -385,7 +386,7 @@
 	o.changesVersion = snapshot.Version
 	o.nextWorkersRead, o.nextChangesRead, o.nextTick = now, now, now
 	o.election.StateLoaded()
-	o.logClaim(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "parked": len(snapshot.Parked), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}, "owning the fleet")
+	o.logClaim(logrus.Fields{"epoch": epoch, "version": snapshot.Version, "beside": beside, "jobs": len(snapshot.Specs), "parked": len(snapshot.Parked), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}, "owning the fleet")
 	o.onOwner(o.announcedRecord, true)
 }
 
--- a/io/owner/lost_test.go
+++ b/io/owner/lost_test.go
@@ -25,13 +25,14 @@
 	delayedStore
 	hook *linesHook
 
-	mu       sync.Mutex
-	stored   *jobs.Spec
-	progress map[core.JobID]jobs.Progress
-	roster   []fleet.RosterEntry
-	active   []fleet.ActiveRun
-	ended    []fleet.EndedRun
-	starts   []fleet.Order
+	mu        sync.Mutex
+	stored    *jobs.Spec
+	progress  map[core.JobID]jobs.Progress
+	roster    []fleet.RosterEntry
+	active    []fleet.ActiveRun
+	ended     []fleet.EndedRun
+	starts    []fleet.Order
+	loadCount int
 	// changes replaces the feed, if it is set.
 	changes func() (record.Snapshot, error)
 	// compacted makes the next read of the feed fail, panics the next tick.
@@ -72,7 +73,8 @@
 
 func (l *lossyDeps) Load(context.Context, *budget.Budget) (*record.Snapshot, error) {
 	l.mu.Lock()
-	out := &record.Snapshot{Progress: map[core.JobID]jobs.Progress{}, Roster: l.roster}
+	l.loadCount++
+	out := &record.Snapshot{Version: uint64(l.loadCount), Progress: map[core.JobID]jobs.Progress{}, Roster: l.roster}
 	if l.stored != nil {
 		out.Specs = []jobs.Spec{*l.stored}
 	}
@@ -258,6 +260,13 @@
 	lines := l.hook.withMessage("owning the fleet")
 	is.Equal(lines[0].Data["epoch"], core.Epoch(1))
 	is.Equal(lines[1].Data["epoch"], core.Epoch(2))
+	is.Equal(lines[1].Data["version"], uint64(2))
+	is.Equal(lines[1].Data["beside"], false)
+	l.do(func() { l.compacted = true })
+	l.untilLogged(t, "owning the fleet", 3)
+	last := l.hook.withMessage("owning the fleet")[2]
+	is.Equal(last.Data["epoch"], core.Epoch(2))
+	is.Equal(last.Data["beside"], true)
 }
 
 // TestEndWaitsForWholeFeed guards against the acknowledgement of an end whose job is stored and
