A job whose progress can't be decoded doesn't run

Found by reading: all tasks of a job would run again.

Cause: a load, or a read of a parked job, that couldn't decode a row of progress logged it and took the job as one without progress. A parked job of which no row was found was dropped, and was new when a message or the feed named it.

Why it works: such a job is left out of what is read, and its name is kept like that of a forgotten one: what names it has its rows read again, and it runs only if they can be. Clients are answered from the rows, as before. The row costs its job, not the promise that nothing runs twice.

--- a/core/fleet/closed.go
+++ b/core/fleet/closed.go
@@ -79,9 +79,19 @@
 	}
 }
 
+// Exclude treats jobs that are not known like forgotten ones, since their rows are missing or
+// cannot be read.
+func (s *Scheduler) Exclude(ids []core.JobID) {
+	for _, id := range ids {
+		if _, ok := s.forgotten[id]; !ok && s.jobs[id] == nil {
+			s.forgotten[id] = time.Time{}
+		}
+	}
+}
+
 // readAgain parks a job that has been forgotten until its rows have been read, and reports
-// whether it has been forgotten. What has brought it in may lack its progress; source says what
-// that was. The stub says whether the end of the job has come with it.
+// whether it has been forgotten. What has brought it in may lack its progress; source says
+// what that was.
 func (s *Scheduler) readAgain(stub Stub, source string) bool {
 	if _, ok := s.forgotten[stub.ID]; !ok {
 		return false
@@ -90,7 +100,7 @@
 		stub.Started = true
 		s.park(&parkedJob{Stub: stub})
 		s.urgentParked.Add(stub.ID)
-		s.logDecision(Decision{Job: stub.ID, Event: EventReadAgain, Reason: source + " after its end was stored and the job forgotten"})
+		s.logDecision(Decision{Job: stub.ID, Event: EventReadAgain, Reason: source + "; it had ended and been forgotten, or could not be read"})
 	}
 	return true
 }
--- a/core/fleet/decision.go
+++ b/core/fleet/decision.go
@@ -23,7 +23,7 @@
 	EventAckUnconfirmed = "acknowledgement not confirmed"
 	// EventReadAgain means that a job has come in from a state that may be older than its
 	// end.
-	EventReadAgain = "ended job has come in; reading its rows"
+	EventReadAgain = "job has come in again; reading its rows"
 )
 
 // Decision is one decision for the log.
--- a/core/fleet/forgotten_test.go
+++ b/core/fleet/forgotten_test.go
@@ -106,3 +106,31 @@
 	f.RowsDeleted(f.now, nil)
 	is.True(f.Accept(f.now, spec)) // nothing is known of it any more
 }
+
+// TestExcludedJob guards against a job whose rows are missing or unreadable, and that runs from
+// the start as a message or the feed names it.
+func TestExcludedJob(t *testing.T) {
+	spec := newJob("j", 1, false)
+	for name, exclude := range map[string]func(f *fixture){
+		"at a load": func(f *fixture) { f.Exclude([]core.JobID{"j"}) },
+		"as it was parked": func(f *fixture) {
+			f.Park(f.now, []fleet.Stub{fleet.NewStub(&spec)})
+			f.ParkedRead(f.now, f.ParkedToRead(f.now), nil, nil, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, 1)
+			f.registerWorkers()
+			exclude(f)
+			for range 2 {
+				f.Accept(f.now, spec)
+				is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+				ids := f.ParkedToRead(f.now)
+				is.Equal(ids, []core.JobID{"j"})
+				f.ParkedRead(f.now, ids, nil, nil, nil)
+				is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+			}
+		})
+	}
+}
--- a/core/fleet/parked.go
+++ b/core/fleet/parked.go
@@ -190,7 +190,7 @@
 }
 
 // ParkedRead handles the rows of parked jobs that have been read, or the failure to read
-// them. A job that was not found has been deleted.
+// them. A job that was not found has been deleted or cannot be decoded.
 func (s *Scheduler) ParkedRead(now time.Time, ids []core.JobID, specs []jobs.Spec, progress map[core.JobID]jobs.Progress, err error) {
 	s.now = now
 	s.readingParked = false
@@ -207,6 +207,7 @@
 			s.unpark(p)
 		}
 	}
+	s.Exclude(ids)
 }
 
 // nameParked requests a parked job of which a worker has named a run. It reports whether
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -369,6 +369,7 @@
 		o.rosterToStore, o.rosterVersion = nil, 0
 		o.meter.SetOwning(true)
 	}
+	o.scheduler.Exclude(snapshot.Unreadable)
 	o.scheduler.Load(now, o.validSpecs(snapshot.Specs), snapshot.Progress)
 	o.scheduler.Park(now, snapshot.Parked)
 	o.scheduler.JobsRead(loaded.began)
--- a/io/record/load.go
+++ b/io/record/load.go
@@ -25,9 +25,12 @@
 	Specs  []jobs.Spec
 	Parked []fleet.Stub
 	// Progress is that of Specs; of the jobs that have ended it holds the state alone.
-	Progress  map[core.JobID]jobs.Progress
-	Cancelled []core.JobID
-	Roster    []fleet.RosterEntry
+	Progress map[core.JobID]jobs.Progress
+	// Unreadable are the stored jobs of which the progress cannot be decoded. They are in
+	// none of the fields above, as their tasks might run again.
+	Unreadable []core.JobID
+	Cancelled  []core.JobID
+	Roster     []fleet.RosterEntry
 	// RosterErrors holds one error for each row of the roster that could not be decoded.
 	// Earlier owners may have used workers that Roster lacks.
 	RosterErrors []error
@@ -103,9 +106,13 @@
 	return out, nil
 }
 
-// applyProgress parks the jobs whose progress is unread, marks the parked ones that have
-// begun or ended, and, if memory is limited, drops what an ended job no longer needs.
+// applyProgress drops the jobs whose progress is unreadable, parks those whose progress is
+// unread, marks the parked ones that have begun or ended, and, if memory is limited, drops what
+// an ended job no longer needs.
 func (s *Snapshot) applyProgress(unread core.Set[core.JobID], limited bool) {
+	unreadable := core.NewSet(s.Unreadable...)
+	s.Specs = slices.DeleteFunc(s.Specs, func(spec jobs.Spec) bool { return unreadable.Has(spec.ID) })
+	s.Parked = slices.DeleteFunc(s.Parked, func(stub fleet.Stub) bool { return unreadable.Has(stub.ID) })
 	s.Specs = slices.DeleteFunc(s.Specs, func(spec jobs.Spec) bool {
 		if unread.Has(spec.ID) {
 			s.Parked = append(s.Parked, fleet.NewStub(&spec))
@@ -146,6 +153,7 @@
 				switch size := progressBytes(&p); {
 				case err != nil:
 					out.RowErrors = append(out.RowErrors, err)
+					out.Unreadable = append(out.Unreadable, core.JobID(row.Name))
 				case limit > 0 && p.State.Final():
 					out.Progress[p.Job] = jobs.Progress{Job: p.Job, State: p.State}
 				case limit > 0 && used+size > limit:
@@ -170,7 +178,8 @@
 	return int64(n)
 }
 
-// Jobs reads single jobs with their progress. The result lacks those that are not stored.
+// Jobs reads single jobs with their progress. The result lacks those that are not stored and
+// those whose progress cannot be decoded.
 func (s *Store) Jobs(ctx context.Context, ids []core.JobID) (*Snapshot, error) {
 	out := &Snapshot{Progress: map[core.JobID]jobs.Progress{}}
 	var mu sync.Mutex
@@ -188,8 +197,8 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if progress.Version > 0 {
-				out.addProgress(progress)
+			if progress.Version > 0 && !out.addProgress(progress) {
+				return nil
 			}
 			if row.Version > 0 {
 				out.addJob(row)
@@ -239,14 +248,15 @@
 	}
 }
 
-// addProgress adds a row of the progress table.
-func (s *Snapshot) addProgress(row table.Row) {
+// addProgress adds a row of the progress table. It reports whether the row could be decoded.
+func (s *Snapshot) addProgress(row table.Row) bool {
 	p, err := decodeProgress(row)
 	if err != nil {
 		s.RowErrors = append(s.RowErrors, err)
-		return
+		return false
 	}
 	s.Progress[p.Job] = p
+	return true
 }
 
 // decodeProgress decodes a row of the progress table.
