--- a/core/fleet/parked.go
+++ b/core/fleet/parked.go
@@ -47,6 +47,13 @@
 	return Stub{ID: spec.ID, Team: spec.Team, Queue: spec.Queue, Due: spec.Due(0), Bytes: spec.Bytes(), FirstEpoch: spec.FirstEpoch}
 }
 
+// loadedStub returns the stub of a job with its stored progress.
+func loadedStub(spec *jobs.Spec, recorded *jobs.Progress) Stub {
+	out := NewStub(spec)
+	out.Started, out.Ended = recorded.Job != "", recorded.State.Final()
+	return out
+}
+
 // parkedJob is a parked job of the scheduler.
 type parkedJob struct {
 	Stub
@@ -67,7 +74,7 @@
 func (s *Scheduler) Park(now time.Time, stubs []Stub) {
 	s.now = now
 	for i, stub := range stubs {
-		if s.jobs[stub.ID] != nil || s.parked[stub.ID] != nil || s.isForLaterOwner(stub.FirstEpoch) {
+		if s.jobs[stub.ID] != nil || s.parked[stub.ID] != nil || s.isForLaterOwner(stub.FirstEpoch) || s.readAgain(stub, "was loaded") {
 			continue
 		}
 		s.park(&parkedJob{Stub: stub})
@@ -183,7 +190,7 @@
 }
 
 // ParkedRead handles the rows of parked jobs that have been read, or the failure to read
-// them. A job that was not found has been deleted.
+// them. A job that was not found has been deleted or cannot be decoded.
 func (s *Scheduler) ParkedRead(now time.Time, ids []core.JobID, specs []jobs.Spec, progress map[core.JobID]jobs.Progress, err error) {
 	s.now = now
 	s.readingParked = false
@@ -200,6 +207,7 @@
 			s.unpark(p)
 		}
 	}
+	s.Exclude(ids)
 }
 
 // nameParked requests a parked job of which a worker has named a run. It reports whether
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -12,11 +12,15 @@
 
 // mayHaveStarted reports whether an earlier owner may have started tasks of the job.
 func (j *Job) mayHaveStarted() bool {
-	return !j.ended() && j.Spec.FirstEpoch < j.scheduler.recoverBefore
+	return !j.ended() && j.Spec.FirstEpoch < j.scheduler.epoch
 }
 
 // JobsRead records that all jobs that were in the store at sentAt have been passed on.
-func (s *Scheduler) JobsRead(sentAt time.Time) { s.jobsReadAt = sentAt }
+func (s *Scheduler) JobsRead(sentAt time.Time) {
+	if sentAt.After(s.jobsReadAt) {
+		s.jobsReadAt = sentAt
+	}
+}
 
 // adoptUnknownRuns gives a new job the runs that workers have listed before the scheduler
 // knew the job.
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -156,9 +156,11 @@
 	o.peers.resetLoads()
 }
 
-// stepDown ends this process's ownership because a later owner exists.
+// stepDown ends this process's ownership because a later owner may exist, or because the
+// scheduler's state can't be used any more. If the ownership record still names this process,
+// it claims a new epoch.
 func (o *Owner) stepDown(now time.Time, reason string) {
-	o.election.Superseded()
+	o.election.StateLost()
 	o.discardScheduler(reason)
 	o.nextRecordRead = now
 }
@@ -354,22 +356,20 @@
 		o.unappliedSnapshot = &loaded
 		return
 	}
-	if o.scheduler == nil {
+	beside := o.scheduler != nil
+	if !beside {
 		opts := []fleet.Option{fleet.WithReplacedAt(o.election.ReplacedAt())}
-		if epoch == o.lastOwnedEpoch {
-			// An earlier scheduler of this process has made decisions in this epoch.
-			opts = append(opts, fleet.WithLostState())
-		}
 		if len(snapshot.RosterErrors) > 0 {
 			opts = append(opts, fleet.WithUnknownRoster())
 		}
-		o.scheduler, o.lastOwnedEpoch = fleet.New(now, epoch, o.limits, o.policy, opts...), epoch
+		o.scheduler = fleet.New(now, epoch, o.limits, o.policy, opts...)
 		o.scheduler.RestoreRoster(snapshot.Roster)
 		o.scheduler.Renewed(o.election.RenewedAt())
 		o.scheduler.Confirmed(o.election.ConfirmedAt())
 		o.rosterToStore, o.rosterVersion = nil, 0
 		o.meter.SetOwning(true)
 	}
+	o.scheduler.Exclude(snapshot.Unreadable)
 	o.scheduler.Load(now, o.validSpecs(snapshot.Specs), snapshot.Progress)
 	o.scheduler.Park(now, snapshot.Parked)
 	o.scheduler.JobsRead(loaded.began)
@@ -387,7 +387,7 @@
 	o.changesVersion = snapshot.Version
 	o.nextWorkersRead, o.nextChangesRead, o.nextTick = now, now, now
 	o.election.StateLoaded()
-	o.logClaim(logrus.Fields{"epoch": epoch, "jobs": len(snapshot.Specs), "parked": len(snapshot.Parked), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}, "owning the fleet")
+	o.logClaim(logrus.Fields{"epoch": epoch, "version": snapshot.Version, "beside": beside, "jobs": len(snapshot.Specs), "parked": len(snapshot.Parked), "workers": len(o.workerList.Workers), "roster": len(snapshot.Roster), "took": loaded.took.Round(time.Millisecond).String()}, "owning the fleet")
 	o.onOwner(o.announcedRecord, true)
 }
 
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -102,10 +102,8 @@
 	policy     *policy.Policy
 	// scheduler is nil unless the process owns the fleet.
 	scheduler *fleet.Scheduler
-	// lastOwnedEpoch is the epoch of the last scheduler of this process.
-	lastOwnedEpoch core.Epoch
 	// yieldedToEpoch is the latest epoch, named by a job, for which the process has
-	// stepped down. If the process still holds the ownership record afterwards, the
+	// stepped down. If the process then owns the fleet again under an earlier epoch, the
 	// job is at fault, and the process schedules the other jobs.
 	yieldedToEpoch core.Epoch
 	peers          *peers
@@ -243,13 +241,16 @@
 	})
 }
 
-// Recover implements loop.Recoverer. The scheduler may be inconsistent after a panic:
-// the process loads the stored state again, as after any loss of its own state.
-func (o *Owner) Recover(_ time.Time, err error) {
+// Recover implements loop.Recoverer. The scheduler may be inconsistent after a panic: the
+// process drops it, and claims a new epoch to load the stored state under.
+func (o *Owner) Recover(now time.Time, err error) {
 	o.log.WithError(err).Error("panic in the control goroutine; the message is lost")
 	o.unappliedSnapshot = nil
-	o.discardScheduler("a panic")
-	if o.election.IsHolder() {
+	switch {
+	case o.scheduler != nil:
+		o.stepDown(now, "a panic")
+	case o.election.IsHolder():
+		// Nothing has been decided under this epoch.
 		o.retryLoad()
 	}
 }
@@ -319,6 +320,10 @@
 	}
 	o.changesReadInFlight = true
 	after, epoch := o.changesVersion, o.scheduler.Epoch()
+	// Every job that was stored before the last confirmed write was sent has an earlier
+	// version than the ownership record.
+	_, recordVersion := o.election.Record()
+	renewedAt := o.election.RenewedAt()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		sentAt := time.Now()
 		changes, err := guard.Call(func() (record.Snapshot, error) { return o.records.Changes(ctx, after) })
@@ -329,8 +334,14 @@
 				return
 			}
 			o.handleChanges(now, changes, err)
-			if err == nil && o.scheduler != nil {
+			switch {
+			case err != nil || o.scheduler == nil:
+			case changes.Whole:
 				o.scheduler.JobsRead(sentAt)
+			case recordVersion > 0 && changes.Version >= recordVersion:
+				o.scheduler.JobsRead(renewedAt)
+			case changes.Version > after:
+				o.nextChangesRead = now
 			}
 		}
 	})
@@ -391,7 +402,7 @@
 	epoch := o.scheduler.Epoch()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		err := guard.Do(func() error { return o.records.Delete(ctx, ids) })
-		return func(o *Owner, _ time.Time) {
+		return func(o *Owner, now time.Time) {
 			o.deleteInFlight = false
 			if err != nil {
 				o.log.WithError(err).WithField("jobs", len(ids)).Warn("cannot delete ended jobs; a later owner deletes them")
@@ -399,6 +410,7 @@
 			}
 			if o.scheduler != nil && o.scheduler.Epoch() == epoch {
 				o.progressToDelete = ids
+				o.scheduler.RowsDeleted(now, ids)
 			}
 		}
 	})
