Logs: the answer of a late or unconfirmed start, and the lag of the control goroutine

A start that is not confirmed, is sent or confirmed late (0.2 s), or is answered after the end of its epoch has a line with task, run, worker, epoch, the delay from the decision to the sending, the time to the answer and the reply. It replaces the scheduler's line 'start not confirmed' and, for starts, 'order not confirmed': a start that is confirmed in time has 'placed' alone, as before. The delay counts from the moment of the decision (it counted from the dispatch, after the placement pass), on the clock that counts suspensions; so does the age that keeps an order from being sent.

The loop tells its handler the longest wait of a message in each burst and the length of the mailbox: metrics chicoryturn_mailbox_lag_seconds and _messages, and a line when the wait passes 0.25 s, once a second.

--- a/core/fleet/start.go
+++ b/core/fleet/start.go
@@ -36,9 +36,6 @@
 		return
 	}
 	w := t.worker
-	if r != ReplyOK {
-		s.logDecision(Decision{Job: id.Job, Event: "start not confirmed", Worker: worker, Task: id.String(), Run: run, Reason: r.String()})
-	}
 	switch r {
 	case ReplyOK:
 		t.fire(taskAccepted)
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -34,6 +34,14 @@
 	Recover(now time.Time, err error)
 }
 
+// Observer is a Handler that learns how late it is.
+type Observer interface {
+	Handler
+	// Lagged is called after each burst of messages with the longest time that one of
+	// them was in the mailbox, and with the length of the mailbox before the burst.
+	Lagged(now time.Time, lag time.Duration, queued int)
+}
+
 // recoverDelay is the time from a panic to the next call of Tick, so that a handler that
 // always panics does not keep the processor busy.
 const recoverDelay = 100 * time.Millisecond
@@ -44,9 +52,15 @@
 // Error implements error.
 func (*StoppedError) Error() string { return "the control loop has stopped" }
 
+// letter is a message that was posted at a time.
+type letter struct {
+	message  Message
+	postedAt time.Time
+}
+
 // Loop is the mailbox of a control goroutine.
 type Loop struct {
-	mailbox chan Message
+	mailbox chan letter
 	stopped chan struct{}
 	group   *errgroup.Group
 	ctx     context.Context
@@ -55,14 +69,14 @@
 // New returns a loop that has not been started.
 func New(ctx context.Context) *Loop {
 	group, ctx := errgroup.WithContext(ctx)
-	return &Loop{mailbox: make(chan Message, mailboxSize), stopped: make(chan struct{}), group: group, ctx: ctx}
+	return &Loop{mailbox: make(chan letter, mailboxSize), stopped: make(chan struct{}), group: group, ctx: ctx}
 }
 
 // Post sends a message to the control goroutine. It blocks while the mailbox is full
 // and returns a StoppedError if the loop has stopped.
 func (l *Loop) Post(m Message) error {
 	select {
-	case l.mailbox <- m:
+	case l.mailbox <- letter{m, time.Now()}:
 		return nil
 	case <-l.stopped:
 		return &StoppedError{}
@@ -93,25 +107,24 @@
 		select {
 		case <-l.ctx.Done():
 			return nil
-		case m := <-l.mailbox:
-			handle(h, m)
-			l.handleQueued(h)
+		case first := <-l.mailbox:
+			l.handleBurst(h, first)
 		case <-timer.C:
 		}
 		timer.Reset(time.Until(tick(h, time.Now())))
 	}
 }
 
-// handle handles one message. A panic costs that message if the handler can recover.
-func handle(h Handler, m Message) {
-	r, ok := h.(Recoverer)
-	if !ok {
-		h.Handle(time.Now(), m)
-		return
-	}
-	if err := guard.Do(func() error { r.Handle(time.Now(), m); return nil }); err != nil {
+// handle handles one message and returns how long it was in the mailbox. A panic costs that
+// message if the handler can recover.
+func handle(h Handler, m letter) time.Duration {
+	now := time.Now()
+	if r, ok := h.(Recoverer); !ok {
+		h.Handle(now, m.message)
+	} else if err := guard.Do(func() error { r.Handle(now, m.message); return nil }); err != nil {
 		r.Recover(time.Now(), err)
 	}
+	return now.Sub(m.postedAt)
 }
 
 // tick does the work that is due and returns the time of the next call.
@@ -128,18 +141,29 @@
 	return next
 }
 
-// handleQueued handles the messages already in the mailbox, so that Tick does not run
-// between the messages of a burst. It handles at most mailboxSize of them, so that
-// Tick also runs under constant load.
-func (l *Loop) handleQueued(h Handler) {
+// handleBurst handles a message and those already in the mailbox, so that Tick does not run
+// between the messages of a burst.
+func (l *Loop) handleBurst(h Handler, first letter) {
+	queued := 1 + l.Depth()
+	lag := max(handle(h, first), l.handleQueued(h))
+	if o, ok := h.(Observer); ok {
+		o.Lagged(time.Now(), lag, queued)
+	}
+}
+
+// handleQueued handles the messages already in the mailbox and returns the longest time that
+// one of them was there. It handles at most mailboxSize of them, so that Tick also runs under
+// constant load.
+func (l *Loop) handleQueued(h Handler) (lag time.Duration) {
 	for range mailboxSize {
 		select {
 		case m := <-l.mailbox:
-			handle(h, m)
+			lag = max(lag, handle(h, m))
 		default:
-			return
+			return lag
 		}
 	}
+	return lag
 }
 
 // Wait waits for the goroutines started by Go. Call it after the context has ended.
--- a/io/loop/loop_test.go
+++ b/io/loop/loop_test.go
@@ -66,3 +66,38 @@
 	cancel()
 	is.NoErr(<-ended)
 }
+
+// slowHandler takes handleTime for each message.
+type slowHandler struct {
+	lags   chan time.Duration
+	queues chan int
+}
+
+const handleTime = 50 * time.Millisecond
+
+func (*slowHandler) Handle(time.Time, loop.Message) { time.Sleep(handleTime) }
+
+func (*slowHandler) Tick(now time.Time) time.Time { return now.Add(time.Hour) }
+
+func (h *slowHandler) Lagged(_ time.Time, lag time.Duration, queued int) {
+	h.lags <- lag
+	h.queues <- queued
+}
+
+// TestLag posts messages faster than they are handled: the handler must learn how long the
+// last one has waited.
+func TestLag(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	l := loop.New(ctx)
+	h := &slowHandler{lags: make(chan time.Duration, 8), queues: make(chan int, 8)}
+	for range 4 {
+		is.NoErr(l.Post(number(1)))
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(h) }()
+	is.True(<-h.lags >= 3*handleTime)
+	is.Equal(<-h.queues, 4)
+	cancel()
+	is.NoErr(<-ended)
+}
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -63,6 +63,12 @@
 	metrics.GetOrCreateGauge("chicoryturn_workers_unreached", nil).Set(float64(unreached))
 }
 
+// Mailbox records the lag of the control goroutine and sets the length of its mailbox.
+func (meter) Mailbox(lag time.Duration, queued int) {
+	metrics.GetOrCreateHistogram("chicoryturn_mailbox_lag_seconds").Update(lag.Seconds())
+	metrics.GetOrCreateGauge("chicoryturn_mailbox_messages", nil).Set(float64(queued))
+}
+
 // SetOwning sets whether this process owns the fleet.
 func (meter) SetOwning(isOwner bool) {
 	v := 0.0
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -17,62 +17,79 @@
 // process did not run and may have been replaced as the owner.
 const maxOrderAge = 300 * time.Millisecond
 
-// dispatch sends each order on a separate goroutine.
-func (o *Owner) dispatch(orders []fleet.Order) {
-	decided := clock.BootTime()
+// lateStart is the time from the decision on a start to its sending, and from there to the
+// answer, from which on its answer is logged.
+const lateStart = 200 * time.Millisecond
+
+// outcome is what became of an order.
+type outcome struct {
+	// sentAt is when the order was sent, delay the time from the decision until then, took
+	// the time from then to the answer. The delay includes suspensions of the VM.
+	sentAt      time.Time
+	delay, took time.Duration
+	lists       fleet.RunLists
+	reply       fleet.Reply
+	err         error
+}
+
+// dispatch sends each order on a separate goroutine. They were decided at the given boot time.
+func (o *Owner) dispatch(orders []fleet.Order, decided time.Duration) {
 	for _, ord := range orders {
 		o.async(func(ctx context.Context) func(*Owner, time.Time) {
-			sent := time.Now()
-			if clock.BootTime()-decided > maxOrderAge {
-				return o.replyHandler(ord, sent, fleet.RunLists{}, fleet.ReplyNotSent, nil)
+			out := outcome{sentAt: time.Now(), delay: clock.BootTime() - decided, reply: fleet.ReplyNotSent}
+			if out.delay <= maxOrderAge {
+				o.send(ctx, ord, &out)
 			}
-			var lists fleet.RunLists
-			// A panic leaves open what the worker does.
-			r := fleet.ReplyUnanswered
-			err := guard.Do(func() (err error) {
-				switch ord.Kind {
-				case fleet.OrderStart:
-					r, err = o.workers.Start(ctx, ord)
-				case fleet.OrderStop:
-					r, err = o.workers.Stop(ctx, ord)
-				case fleet.OrderHeartbeat:
-					lists, r, err = o.workers.Heartbeat(ctx, ord)
-				}
-				return err
-			})
-			o.meter.Call(callNames[ord.Kind], r.String(), time.Since(sent))
-			return o.replyHandler(ord, sent, lists, r, err)
+			return replyHandler(ord, out)
 		})
 	}
 }
 
+// send sends an order and fills in its outcome.
+func (o *Owner) send(ctx context.Context, ord fleet.Order, out *outcome) {
+	// A panic leaves open what the worker does.
+	out.reply = fleet.ReplyUnanswered
+	out.err = guard.Do(func() (err error) {
+		switch ord.Kind {
+		case fleet.OrderStart:
+			out.reply, err = o.workers.Start(ctx, ord)
+		case fleet.OrderStop:
+			out.reply, err = o.workers.Stop(ctx, ord)
+		case fleet.OrderHeartbeat:
+			out.lists, out.reply, err = o.workers.Heartbeat(ctx, ord)
+		}
+		return err
+	})
+	out.took = time.Since(out.sentAt)
+	o.meter.Call(callNames[ord.Kind], out.reply.String(), out.took)
+}
+
 // callNames holds the values of the metric label "call" and of the log field
 // "order".
 var callNames = map[fleet.OrderKind]string{fleet.OrderStart: "start", fleet.OrderStop: "stop", fleet.OrderHeartbeat: "hold"}
 
 // replyHandler returns the function that applies the outcome of an order to the
 // scheduler. It discards outcomes of orders from another epoch.
-func (o *Owner) replyHandler(ord fleet.Order, sent time.Time, lists fleet.RunLists, r fleet.Reply, err error) func(*Owner, time.Time) {
+func replyHandler(ord fleet.Order, out outcome) func(*Owner, time.Time) {
 	return func(o *Owner, now time.Time) {
-		if o.scheduler == nil || o.scheduler.Epoch() != ord.Epoch {
+		isCurrent := o.scheduler != nil && o.scheduler.Epoch() == ord.Epoch
+		o.logOutcome(ord, out, isCurrent)
+		if !isCurrent {
 			return
 		}
-		if err != nil {
-			o.log.WithError(err).WithFields(logrus.Fields{"worker": ord.Worker, "order": callNames[ord.Kind], "reply": r.String(), "epoch": ord.Epoch}).Warn("order not confirmed")
-		}
-		if r == fleet.ReplyOtherIncarnation {
+		if out.reply == fleet.ReplyOtherIncarnation {
 			o.scheduler.IncarnationEnded(now, ord.Info)
 		}
 		switch {
-		case r == fleet.ReplyFenced:
+		case out.reply == fleet.ReplyFenced:
 			o.stepDown(now, "worker "+string(ord.Worker)+" has seen a later owner")
 			return
 		case ord.Kind == fleet.OrderStart:
-			o.scheduler.StartAnswered(now, ord.Worker, ord.Task, ord.Run, r)
+			o.scheduler.StartAnswered(now, ord.Worker, ord.Task, ord.Run, out.reply)
 		case ord.Kind == fleet.OrderStop:
-			o.scheduler.StopAnswered(now, ord.Worker, ord.Task, ord.Run, r)
-		case r == fleet.ReplyOK:
-			o.scheduler.HeartbeatAnswered(now, ord.Worker, sent, lists)
+			o.scheduler.StopAnswered(now, ord.Worker, ord.Task, ord.Run, out.reply)
+		case out.reply == fleet.ReplyOK:
+			o.scheduler.HeartbeatAnswered(now, ord.Worker, out.sentAt, out.lists)
 			o.stageRoster()
 		default:
 			o.scheduler.HeartbeatFailed(now, ord.Worker)
@@ -83,3 +100,29 @@
 		o.tickSoon(now)
 	}
 }
+
+// logOutcome logs the outcome of an order that is not confirmed, and of a start also if it is
+// late or if its owner's epoch has ended meanwhile. The other starts have a line for the
+// decision alone.
+func (o *Owner) logOutcome(ord fleet.Order, out outcome, isCurrent bool) {
+	f := logrus.Fields{"worker": ord.Worker, "epoch": ord.Epoch, "sent": ageText(out.delay), "after": ageText(out.took), "reply": out.reply.String()}
+	if ord.Kind != fleet.OrderHeartbeat {
+		f["job"], f["task"], f["run"] = ord.Task.Job, ord.Task.String(), ord.Run
+	}
+	if out.err != nil {
+		f[logrus.ErrorKey] = out.err
+	}
+	switch {
+	case ord.Kind != fleet.OrderStart:
+		if out.err != nil && isCurrent {
+			f["order"] = callNames[ord.Kind]
+			o.log.WithFields(f).Warn("order not confirmed")
+		}
+	case !isCurrent:
+		o.log.WithFields(f).Warn("start answered after the end of its epoch")
+	case out.reply != fleet.ReplyOK:
+		o.log.WithFields(f).Warn("start not confirmed")
+	case max(out.delay, out.took) > lateStart:
+		o.log.WithFields(f).Info("start confirmed late")
+	}
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -45,6 +45,10 @@
 	// tickDelay is the time between a change and the scheduler's tick, so that a
 	// burst of messages leads to one placement pass.
 	tickDelay = 6 * time.Millisecond
+	// maxLag is how long a message may wait for the control goroutine before that is
+	// logged, once in lagLogInterval.
+	maxLag         = 250 * time.Millisecond
+	lagLogInterval = time.Second
 )
 
 // RecordStore reads and writes the stored state of the fleet. Package record describes
@@ -83,6 +87,9 @@
 	// Authority sets the age of the last confirmation of the ownership record and how
 	// many workers of earlier owners this owner still waits for; 0 on other processes.
 	Authority(recordAge time.Duration, unreached int)
+	// Mailbox records how long the oldest message of a burst has waited for the control
+	// goroutine, and how many messages the mailbox held then.
+	Mailbox(lag time.Duration, queued int)
 }
 
 // Owner is the control state of one process.
@@ -150,8 +157,10 @@
 	// rosterVersion.
 	rosterToStore []fleet.RosterEntry
 	rosterVersion uint64
-	draining      bool
-	drained       chan struct{}
+	// nextLagLog is the earliest time of the next log line on a late control goroutine.
+	nextLagLog time.Time
+	draining   bool
+	drained    chan struct{}
 }
 
 // Option configures an owner.
@@ -254,10 +263,21 @@
 	}
 }
 
+// Lagged implements loop.Observer.
+func (o *Owner) Lagged(now time.Time, lag time.Duration, queued int) {
+	o.meter.Mailbox(lag, queued)
+	if lag < maxLag || now.Before(o.nextLagLog) {
+		return
+	}
+	o.nextLagLog = now.Add(lagLogInterval)
+	o.log.WithFields(logrus.Fields{"lag": ageText(lag), "queued": queued, "owning": o.scheduler != nil}).Warn("control goroutine is late")
+}
+
 // Tick implements loop.Handler.
 func (o *Owner) Tick(now time.Time) time.Time {
 	o.onTick()
-	maySendOrders := o.election.CheckSuspension(now, clock.BootTime(), clock.Monotonic())
+	bootTime := clock.BootTime()
+	maySendOrders := o.election.CheckSuspension(now, bootTime, clock.Monotonic())
 	o.readRecord(now)
 	o.readWorkers(now)
 	next := now.Add(elect.ReadInterval)
@@ -269,7 +289,7 @@
 		o.deleteExpired(now)
 		o.readParked(now)
 		if !now.Before(o.nextTick) {
-			o.tick(now)
+			o.tick(now, bootTime-time.Since(now))
 		}
 		next = o.nextTick.Add(time.Millisecond)
 	}
@@ -282,12 +302,13 @@
 	return next
 }
 
-// tick runs the scheduler and sends its orders, advice requests and room hints.
-func (o *Owner) tick(now time.Time) {
+// tick runs the scheduler and sends its orders, advice requests and room hints. Decided is
+// now as boot time.
+func (o *Owner) tick(now time.Time, decided time.Duration) {
 	began := time.Now()
 	next := o.scheduler.Tick(now)
 	o.stageRoster()
-	o.dispatch(o.scheduler.Orders())
+	o.dispatch(o.scheduler.Orders(), decided)
 	o.sendAdviceRequests(now)
 	o.sendRoomHint(now)
 	o.meter.Placement(time.Since(began))
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -89,6 +89,7 @@
 func (*fakeDeps) SetOwning(bool)                     {}
 func (*fakeDeps) Claim(elect.ClaimReason)            {}
 func (*fakeDeps) Authority(time.Duration, int)       {}
+func (*fakeDeps) Mailbox(time.Duration, int)         {}
 
 // allDeps combines the dependencies of an owner.
 type allDeps interface {
--- a/io/trace/task_test.go
+++ b/io/trace/task_test.go
@@ -52,3 +52,13 @@
 	is.Equal(lines[0].Fields["run"], "2097153")
 	is.Equal(lines[1].Fields["from"], "1048576")
 }
+
+// TestAnswerOfStart guards against a trace of a task that doesn't tell how late a start was.
+func TestAnswerOfStart(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := trace.ReadTask(strings.NewReader(`{"after":"400ms","epoch":1,"error":"deadline","job":"aa","msg":"start not confirmed","part":"owner","reply":"no-answer","run":1,"sent":"1.2s","task":"aa.0.0.0","time":"06:00:02.600","vm":"vm-a","worker":"i-1"}
+`), "aa.0.0.0")
+	is.NoErr(err)
+	is.Equal(len(lines), 1)
+	is.Equal(lines[0].String(), "06:00:02.600 vm-a                   owner  start not confirmed  task=aa.0.0.0  run=1  worker=i-1  epoch=1  sent=1.2s  after=400ms  reply=no-answer  error=deadline")
+}
