An owner's authority ages while its VM is suspended

Callers: after a suspension an owner could start tasks and extend leases, by a renewal that it took for younger than it was by the length of the suspension, past the moment from which its successor takes its leases for expired: the tasks of a worker that answers only the earlier owner run twice.

Cause: authority compares times of the clock that stands still during a suspension; the successor's clock goes on. After the suspension one read of the record let the owner send orders again, and a read does not prolong authority. The same holds for the quorum: answers to heartbeats that were sent before the suspension counted as recent.

Fix: CheckSuspension moves the last renewal back by the suspension, in the election and in the scheduler, and takes no write for a renewal that was sent before the suspension was noticed; a worker counts for the quorum only by a heartbeat sent since. The owner renews at once. The difference of the clocks counts from the last suspension, so that short ones add up and a late reading of one of the clocks (up to 10 ms) is none. The time of day, by which tasks are due, is as before. Times that only make an owner wait longer (replacedAt, settledAt, the lease of a silent worker, missingSince, maxJobWait) stay as they are.

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -36,6 +36,9 @@
 	// suspendTolerance is the longest suspension after which an owner need not
 	// confirm its record.
 	suspendTolerance = 250 * time.Millisecond
+	// clockNoise is the largest change of the difference between two clocks that shows no
+	// suspension: they are read one after the other.
+	clockNoise = 10 * time.Millisecond
 )
 
 //go:embed election.toml
@@ -109,9 +112,13 @@
 	claimDelay time.Duration
 	// outcomeUnknown is set after a write without an answer until the row is read.
 	outcomeUnknown bool
-	// clockSkew is the difference between the two local clocks at the last call
-	// of CheckSuspension, checkedAt the boot time at that call.
+	// clockSkew is the difference between the two local clocks after the last suspension,
+	// checkedAt the boot time at the last call of CheckSuspension.
 	clockSkew, checkedAt time.Duration
+	// suspension is the length of the suspension that the last call of CheckSuspension
+	// has found, 0 if none; resumedAt is when one was found last.
+	suspension time.Duration
+	resumedAt  time.Time
 	// endedHolder names an incarnation that seems to have ended.
 	endedHolder core.SessionID
 	// suspectHolder names an incarnation that does not answer this process.
@@ -121,7 +128,8 @@
 	suspended   bool
 	suspendedAt time.Time
 	// confirmedAt is when the last call was sent that has shown that this process
-	// holds the record, renewedAt when the last confirmed write was sent.
+	// holds the record, renewedAt when the last confirmed write was sent, moved back by the
+	// suspensions since.
 	confirmedAt, renewedAt time.Time
 	// replacedAt is when the record that this process has claimed last was first seen
 	// as it then was.
@@ -152,7 +160,8 @@
 func (e *Election) ConfirmedAt() time.Time { return e.confirmedAt }
 
 // RenewedAt returns when the last write that this process knows to have taken effect was sent.
-// A process that claims the record has seen that write, or a later one, afterwards.
+// A process that claims the record has seen that write, or a later one, afterwards. The time
+// is moved back by the suspensions since then.
 func (e *Election) RenewedAt() time.Time { return e.renewedAt }
 
 // ReplacedAt returns a time after the last write of every earlier owner: when this process
@@ -326,7 +335,8 @@
 	e.setStoreClock(now, storeClock)
 	e.record, e.version, e.readAt, e.changedAt, e.outcomeUnknown = rec, version, now, now, false
 	e.confirm(sentAt)
-	if sentAt.After(e.renewedAt) {
+	// How long ago a write before the last suspension was sent isn't known.
+	if sentAt.After(e.renewedAt) && sentAt.After(e.resumedAt) {
 		e.renewedAt = sentAt
 	}
 	e.fire(eventWon)
@@ -374,13 +384,24 @@
 // counts suspended time, monotonic one that does not.
 func (e *Election) CheckSuspension(now time.Time, bootTime, monotonic time.Duration) bool {
 	skew := bootTime - monotonic
+	if e.checkedAt == 0 {
+		e.clockSkew = skew
+	}
+	e.suspension = 0
+	if d := skew - e.clockSkew; d > clockNoise {
+		e.suspension, e.clockSkew = d, skew
+		e.renewedAt, e.resumedAt = e.renewedAt.Add(-d), now
+	}
 	stalled := e.checkedAt > 0 && bootTime-e.checkedAt > SuspectTTL
-	if (skew-e.clockSkew > suspendTolerance || stalled) && e.IsHolder() {
+	if (e.suspension > suspendTolerance || stalled) && e.IsHolder() {
 		e.suspend(now)
 	}
-	e.clockSkew, e.checkedAt = skew, bootTime
+	e.checkedAt = bootTime
 	return !e.suspended
 }
 
+// Suspension returns how long the VM was suspended before the last call of CheckSuspension.
+func (e *Election) Suspension() time.Duration { return e.suspension }
+
 // Suspended reports whether the owner must confirm its record before it sends orders.
 func (e *Election) Suspended() bool { return e.suspended }
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -189,6 +189,25 @@
 	is.True(e.CheckSuspension(at(4000), 7*time.Second, 4*time.Second))
 }
 
+// TestSuspensionAgesRenewal guards against an owner that takes its last renewal for younger than
+// it is, by the length of a suspension that the clock of these times doesn't count. A write
+// that was sent before the suspension was noticed is of unknown age.
+func TestSuspensionAgesRenewal(t *testing.T) {
+	is := is.New(t)
+	e, rec := newOwner()
+	e.CheckSuspension(at(100), time.Second, time.Second)
+	is.Equal(e.Suspension(), time.Duration(0))
+	e.CheckSuspension(at(200), 3500*time.Millisecond, 1100*time.Millisecond)
+	is.Equal(e.Suspension(), 2400*time.Millisecond)
+	is.Equal(e.RenewedAt(), at(10-2400))
+	e.WriteSucceeded(at(300), at(190), rec, 8, 0)
+	is.Equal(e.RenewedAt(), at(10-2400))
+	e.CheckSuspension(at(300), 3600*time.Millisecond, 1200*time.Millisecond)
+	is.Equal(e.Suspension(), time.Duration(0))
+	e.WriteSucceeded(at(320), at(310), rec, 9, 0)
+	is.Equal(e.RenewedAt(), at(310))
+}
+
 // TestStall checks that an owner whose process stalled while both clocks advanced
 // must confirm its record, since other processes may have claimed meanwhile.
 func TestStall(t *testing.T) {
--- a/core/fleet/authority.go
+++ b/core/fleet/authority.go
@@ -33,8 +33,10 @@
 type authority struct {
 	// confirmedAt is when the last call was sent that has shown that the ownership
 	// record names this owner, renewedAt when the last write of the record was sent that
-	// has taken effect. They never decrease.
+	// has taken effect, moved back by the suspensions since. No call makes them earlier.
 	confirmedAt, renewedAt time.Time
+	// resumedAt is when the last suspension of the VM was noticed.
+	resumedAt time.Time
 	// wantedAt is the latest time after which the record must be confirmed before the
 	// tasks that wait for it may start.
 	wantedAt time.Time
@@ -82,6 +84,13 @@
 	s.Confirmed(sentAt)
 }
 
+// Suspended records that the VM was suspended for d before now. Times here come from a clock
+// that doesn't count suspensions, unlike those of a successor.
+func (s *Scheduler) Suspended(now time.Time, d time.Duration) {
+	s.now = now
+	s.authority.renewedAt, s.authority.resumedAt = s.authority.renewedAt.Add(-d), now
+}
+
 // ConfirmedAt returns when the last call was sent that has confirmed the record.
 func (s *Scheduler) ConfirmedAt() time.Time { return s.authority.confirmedAt }
 
@@ -115,7 +124,7 @@
 func (s *Scheduler) hasQuorum() bool {
 	reached := 0
 	for _, w := range s.sortedWorkers {
-		if w.inQuorum && s.now.Sub(w.contactAt) <= contactTTL {
+		if w.inQuorum && s.now.Sub(w.contactAt) <= contactTTL && w.contactAt.After(s.authority.resumedAt) {
 			reached++
 		}
 	}
--- a/core/fleet/authority_test.go
+++ b/core/fleet/authority_test.go
@@ -75,6 +75,39 @@
 	}
 }
 
+// TestSuspendedOwnerStops guards against an owner that acts after a suspension by authority that
+// its successor takes for expired, since its clock has not counted the suspension.
+func TestSuspendedOwnerStops(t *testing.T) {
+	const suspension = 2400 * time.Millisecond
+	for name, c := range map[string]struct {
+		sinceRenewal time.Duration
+		answering    int
+	}{"renewed lately": {300 * time.Millisecond, 2}, "with a quorum": {4 * time.Second, 4}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, 4)
+			f.registerWorkers()
+			f.nextOrders(fleet.OrderHeartbeat)
+			for _, w := range f.workers {
+				f.heartbeat(w, nil, nil)
+			}
+			_, renewals := f.play(c.sinceRenewal, f.workers[:c.answering]...)
+			is.True(len(renewals) > 0)
+			f.Suspended(f.now, suspension)
+			f.Confirmed(f.now.Add(time.Millisecond)) // a read finds that there is no successor yet
+			f.Accept(f.now, newJob("j", 1, false))
+			f.advance(10 * time.Millisecond)
+			starts, renewals := f.play(100*time.Millisecond, f.workers[:c.answering]...)
+			is.Equal(len(starts), 0)
+			is.Equal(len(renewals), 0)
+			f.Renewed(f.now)
+			starts, renewals = f.play(time.Second, f.workers[:c.answering]...)
+			is.Equal(len(starts), 1)
+			is.True(len(renewals) > 0)
+		})
+	}
+}
+
 // TestLapseNeedsConfirmation guards against an owner that takes a worker's lease for expired
 // while its successor, of which it doesn't know, extends it.
 func TestLapseNeedsConfirmation(t *testing.T) {
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -113,6 +113,16 @@
 	o.tickSoon(now)
 }
 
+// handleSuspension handles the end of a suspension of the VM for d: the next renewal is due
+// sooner, and authority expires earlier.
+func (o *Owner) handleSuspension(now time.Time, d time.Duration) {
+	o.log.WithFields(logrus.Fields{"after": ageText(d), "owning": o.scheduler != nil}).Warn("resumed after a suspension")
+	o.lastWrite = o.election.RenewedAt()
+	if o.scheduler != nil {
+		o.scheduler.Suspended(now, d)
+	}
+}
+
 // announceOwner calls the owner hook if the owner or its epoch has changed.
 func (o *Owner) announceOwner() {
 	rec, _ := o.election.Record()
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -278,6 +278,9 @@
 	o.onTick()
 	bootTime := clock.BootTime()
 	maySendOrders := o.election.CheckSuspension(now, bootTime, clock.Monotonic())
+	if d := o.election.Suspension(); d > 0 {
+		o.handleSuspension(now, d)
+	}
 	o.readRecord(now)
 	o.readWorkers(now)
 	next := now.Add(elect.ReadInterval)
