A worker has drained only by readings of the list without an outage between

Callers: a task could run twice when the entry of a leaving worker vanished around an outage of the store: it counted as removed because the worker had drained, and its tasks started elsewhere at once while the worker ran on.

The platform removes entries for silence at times while the store is down, and living workers are back within 2 s of its return, so around an outage a missing entry proves nothing. Readings that failed between the two lists weren't known to the scheduler.

Evidence: with ListFailed doing nothing, TestDrainedOnlyWithoutOutage failed in its cases 'failed read' and 'late read' ("1 != 0" starts).

Fix: the renewal and the list that lacks the entry must be in one series of readings, which ends with a failed reading or when two lists arrive more than 1.5 s apart.

--- a/core/fleet/proof.go
+++ b/core/fleet/proof.go
@@ -27,6 +27,22 @@
 	proofIdle proof = "it had no runs"
 )
 
+// listSeries describes the latest readings of the list of workers that follow one another
+// without a failure or a long gap, on the clock of WorkerList. Around an outage of the store
+// the list may lack workers that go on.
+type listSeries struct {
+	// since is when the first list of the series was requested, requestedAt and receivedAt
+	// are the times of the last one.
+	since, requestedAt, receivedAt time.Duration
+	// broken is set if a reading has failed after the last list.
+	broken bool
+}
+
+// endedBefore reports whether a new list begins another series.
+func (l *listSeries) endedBefore(next WorkerList) bool {
+	return l.broken || next.ReceivedAt-l.receivedAt > maxOwnerGap
+}
+
 // leaseExpired reports whether the lease of all runs on the worker has certainly
 // expired. A later owner may have extended it unless the ownership record has been
 // confirmed since it expired.
@@ -54,10 +70,11 @@
 
 // hasDrained reports whether the entry of a worker that is missing from a list received
 // at the given time was removed because the worker drained: it was leaving, and its last
-// renewal is too recent for a removal by time-out.
+// renewal is too recent for a removal by time-out and in the series of that list.
 func (w *Worker) hasDrained(listReceivedAt time.Duration) bool {
+	s := w.scheduler
 	silence := listReceivedAt - w.renewedAfter
-	return w.info.Leaving && w.renewedAfter > 0 && silence < w.scheduler.limits.ListTimeout-drainMargin
+	return w.info.Leaving && w.renewedAfter > 0 && w.renewedAfter >= s.lists.since && silence < s.limits.ListTimeout-drainMargin
 }
 
 // hasNoRuns reports whether the worker has no runs, none can start there, and
--- a/core/fleet/proof_test.go
+++ b/core/fleet/proof_test.go
@@ -227,6 +227,38 @@
 	is.Equal(len(f.roster()), 2)
 }
 
+// TestDrainedOnlyWithoutOutage guards against a draining worker that counts as ended because
+// its entry vanished around an outage of the store: only readings of the list without a gap
+// from its last renewal on show that the worker has left.
+func TestDrainedOnlyWithoutOutage(t *testing.T) {
+	for name, c := range map[string]struct {
+		readFails bool
+		lastGap   time.Duration
+		starts    int
+	}{"none": {false, 500 * time.Millisecond, 1}, "failed read": {true, time.Second, 0}, "late read": {false, 2 * time.Second, 0}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, 2)
+			s := f.startTask()
+			i := slices.IndexFunc(f.workers, func(w fleet.WorkerInfo) bool { return w.ID() == s.Worker })
+			listed := slices.Clone(f.workers)
+			for beat := range uint64(3) {
+				f.advance(500 * time.Millisecond)
+				listed[i].Leaving, listed[i].Renewals = true, beat
+				f.SetWorkers(f.now, f.list(listed))
+			}
+			if c.readFails {
+				f.ListFailed()
+			}
+			f.advance(c.lastGap)
+			f.SetWorkers(f.now, f.list(slices.Delete(listed, i, i+1)))
+			f.heartbeat(f.workers[1-i], nil, nil)
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), c.starts)
+			is.Equal(len(f.roster()), 2-c.starts)
+		})
+	}
+}
+
 // TestRosterOmitsEndedWorkers guards against a change of owner that makes the fleet wait
 // again for a worker whose runs the former owner knew to have ended. The worker is used
 // again only once a roster that was made after its return has been stored.
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -108,12 +108,11 @@
 	adviceStats map[core.Queue]adviceStats
 	// rosterVersion is incremented when the roster changes.
 	rosterVersion uint64
-	// listedAt is when the list of workers was last read, listRequestedAt when that
-	// list was requested, on the clock of WorkerList.
-	listedAt        time.Time
-	listRequestedAt time.Duration
-	authority       authority
-	reach           reach
+	// listedAt is when the list of workers was last read.
+	listedAt  time.Time
+	lists     listSeries
+	authority authority
+	reach     reach
 	// rosterUnknown is set if earlier owners may have used workers that the restored
 	// roster lacks.
 	rosterUnknown bool
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -176,6 +176,9 @@
 // service that the configuration does not name: its entry may be another system's.
 func (s *Scheduler) SetWorkers(now time.Time, list WorkerList) {
 	s.now = now
+	if s.lists.endedBefore(list) {
+		s.lists.since = list.RequestedAt
+	}
 	listed := map[core.WorkerID]bool{}
 	s.misdirected.retain(list.Workers)
 	for _, e := range list.Unusable {
@@ -205,12 +208,16 @@
 			w.handleUnlisted(list.ReceivedAt)
 		}
 	}
-	s.listedAt, s.listRequestedAt = now, list.RequestedAt
+	s.listedAt = now
+	s.lists.requestedAt, s.lists.receivedAt, s.lists.broken = list.RequestedAt, list.ReceivedAt, false
 	s.removeGone()
 	s.resolveRecovered()
 	s.needsPlacement = true
 }
 
+// ListFailed records that the list of workers could not be read.
+func (s *Scheduler) ListFailed() { s.lists.broken = true }
+
 func (s *Scheduler) addWorker(id core.WorkerID, info WorkerInfo) *Worker {
 	w := &Worker{id: id, scheduler: s, nameHash: xxhash.Sum64String(string(id)), state: workerChart.Start(), info: info, free: info.Capacity, tasks: map[jobs.TaskID]*Task{}}
 	if s.authority.settledAt.IsZero() {
@@ -235,7 +242,7 @@
 // owner's first list shows no renewal: the stored roster may hold any older entry.
 func (w *Worker) updateInfo(info WorkerInfo) {
 	if info.Renewals != w.info.Renewals {
-		w.renewedAfter = w.scheduler.listRequestedAt
+		w.renewedAfter = w.scheduler.lists.requestedAt
 	}
 	w.listed, w.entryUnusable, w.missingSince = true, false, time.Time{}
 	if info.Capacity != w.info.Capacity {
--- a/io/owner/workers.go
+++ b/io/owner/workers.go
@@ -39,6 +39,9 @@
 			if err != nil {
 				o.nextWorkersRead = now.Add(o.workersReadDelay())
 				o.log.WithError(err).Warn("cannot read the worker list")
+				if o.scheduler != nil {
+					o.scheduler.ListFailed()
+				}
 				return
 			}
 			o.logUnusable(list.Unusable)
