A start is checked again when it is written to its connection

Callers: a run could start after its job was cancelled, after its owner had given up the record, or seconds after the decision: the order had waited for a goroutine or a connection.

Cause: the age of an order was checked once, before the connection was awaited, and nothing looked again at whether the decision still held.

Fix: each start has a permit, which is taken in the first write of its request to the connection. It fails when the decision is older than 0.3 s on the clock that counts suspensions, or after the control goroutine has withdrawn it: with the stop of the run, a later start of the task or the end of the scheduler. A start without answer whose permit was not taken is 'not sent' rather than in doubt: its task needs no stop. The delay in the logs is that of the write.

Existing tests: their fakes have the new parameter of WorkerClient.Start.

--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -160,6 +160,7 @@
 	o.logDecisions()
 	o.log.WithFields(logrus.Fields{"epoch": o.scheduler.Epoch(), "because": reason, "confirmed": ageText(time.Since(o.scheduler.ConfirmedAt()))}).Warn("no longer the owner")
 	o.scheduler = nil
+	o.withdrawPermits()
 	o.rosterToStore, o.rosterVersion, o.progressToDelete = nil, 0, nil
 	o.meter.SetOwning(false)
 	o.meter.Authority(0, 0)
--- a/io/owner/evidence_test.go
+++ b/io/owner/evidence_test.go
@@ -74,7 +74,7 @@
 	}}}, nil
 }
 
-func (h *handOver) Start(_ context.Context, o fleet.Order) (fleet.Reply, error) {
+func (h *handOver) Start(_ context.Context, o fleet.Order, _ func() bool) (fleet.Reply, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ends = append(h.ends, fleet.EndedRun{Number: 17, Task: o.Task, Run: o.Run, Kind: fleet.EndDone, Reason: "done"})
--- a/io/owner/list_test.go
+++ b/io/owner/list_test.go
@@ -50,7 +50,7 @@
 	return fleet.RunLists{Clock: time.Second, Incarnation: oldIncarnation}, fleet.ReplyOK, nil
 }
 
-func (l *leftWorker) Start(context.Context, fleet.Order) (fleet.Reply, error) {
+func (l *leftWorker) Start(context.Context, fleet.Order, func() bool) (fleet.Reply, error) {
 	l.starts.Add(1)
 	return fleet.ReplyOK, nil
 }
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -13,8 +13,8 @@
 
 // maxOrderAge is the longest time between the decision on an order and its
 // sending, including time during which the machine was suspended or the process
-// was stopped. Goroutines start within a few ms, so an older order means that the
-// process did not run and may have been replaced as the owner.
+// was stopped. An older order means that the process did not run, and may have been
+// replaced as the owner, or that the order waited for a connection.
 const maxOrderAge = 300 * time.Millisecond
 
 // lateStart is the time from the decision on a start to its sending, and from there to the
@@ -35,24 +35,25 @@
 // dispatch sends each order on a separate goroutine. They were decided at the given boot time.
 func (o *Owner) dispatch(orders []fleet.Order, decided time.Duration) {
 	for _, ord := range orders {
+		p := o.permitFor(ord, decided)
 		o.async(func(ctx context.Context) func(*Owner, time.Time) {
 			out := outcome{sentAt: time.Now(), delay: clock.BootTime() - decided, reply: fleet.ReplyNotSent}
 			if out.delay <= maxOrderAge {
-				o.send(ctx, ord, &out)
+				o.send(ctx, ord, p, &out)
 			}
-			return replyHandler(ord, out)
+			return replyHandler(ord, p, out)
 		})
 	}
 }
 
-// send sends an order and fills in its outcome.
-func (o *Owner) send(ctx context.Context, ord fleet.Order, out *outcome) {
+// send sends an order and fills in its outcome. P is the permit of a start.
+func (o *Owner) send(ctx context.Context, ord fleet.Order, p *permit, out *outcome) {
 	// A panic leaves open what the worker does.
 	out.reply = fleet.ReplyUnanswered
 	out.err = guard.Do(func() (err error) {
 		switch ord.Kind {
 		case fleet.OrderStart:
-			out.reply, err = o.workers.Start(ctx, ord)
+			out.reply, err = o.workers.Start(ctx, ord, p.take)
 		case fleet.OrderStop:
 			out.reply, err = o.workers.Stop(ctx, ord)
 		case fleet.OrderHeartbeat:
@@ -61,7 +62,17 @@
 		return err
 	})
 	out.took = time.Since(out.sentAt)
+	if p != nil && out.reply == fleet.ReplyUnanswered && p.withdraw() {
+		out.reply = fleet.ReplyNotSent
+	}
 	o.meter.Call(callNames[ord.Kind], out.reply.String(), out.took)
+	if p == nil {
+		return
+	}
+	if delay := time.Duration(p.delay.Load()); delay > 0 {
+		out.took -= delay - out.delay
+		out.delay = delay
+	}
 }
 
 // callNames holds the values of the metric label "call" and of the log field
@@ -69,9 +80,12 @@
 var callNames = map[fleet.OrderKind]string{fleet.OrderStart: "start", fleet.OrderStop: "stop", fleet.OrderHeartbeat: "hold"}
 
 // replyHandler returns the function that applies the outcome of an order to the
-// scheduler. It discards outcomes of orders from another epoch.
-func replyHandler(ord fleet.Order, out outcome) func(*Owner, time.Time) {
+// scheduler. It discards outcomes of orders from another epoch. P is the permit of a start.
+func replyHandler(ord fleet.Order, p *permit, out outcome) func(*Owner, time.Time) {
 	return func(o *Owner, now time.Time) {
+		if p != nil && o.permits[ord.Task] == p {
+			delete(o.permits, ord.Task)
+		}
 		isCurrent := o.scheduler != nil && o.scheduler.Epoch() == ord.Epoch
 		o.logOutcome(ord, out, isCurrent)
 		if !isCurrent {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -64,7 +64,9 @@
 
 // WorkerClient sends orders to workers.
 type WorkerClient interface {
-	Start(ctx context.Context, o fleet.Order) (fleet.Reply, error)
+	// Start sends a start. It calls maySend once, right before it writes the order to a
+	// connection; if that returns false, it sends nothing and replies ReplyNotSent.
+	Start(ctx context.Context, o fleet.Order, maySend func() bool) (fleet.Reply, error)
 	Stop(ctx context.Context, o fleet.Order) (fleet.Reply, error)
 	Heartbeat(ctx context.Context, o fleet.Order) (fleet.RunLists, fleet.Reply, error)
 }
@@ -115,7 +117,9 @@
 	// stepped down. If the process still holds the ownership record afterwards, the
 	// job is at fault, and the process schedules the other jobs.
 	yieldedToEpoch core.Epoch
-	peers          *peers
+	// permits holds the permits of the starts that have not been answered.
+	permits map[jobs.TaskID]*permit
+	peers   *peers
 	// onOwner is called when the owner of the fleet changes and when this process
 	// starts to schedule.
 	onOwner func(rec elect.Record, isOwner bool)
@@ -197,7 +201,7 @@
 func New(l *loop.Loop, deps Deps, self elect.Record, claimDelay time.Duration, limits fleet.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
-		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), changesInterval: maxChangesInterval,
+		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), permits: map[jobs.TaskID]*permit{}, changesInterval: maxChangesInterval,
 		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
 		drained: make(chan struct{}),
 	}
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -69,7 +69,9 @@
 
 func (*fakeDeps) Delete(context.Context, []core.JobID) error { return nil }
 
-func (*fakeDeps) Start(context.Context, fleet.Order) (fleet.Reply, error) { return fleet.ReplyOK, nil }
+func (*fakeDeps) Start(context.Context, fleet.Order, func() bool) (fleet.Reply, error) {
+	return fleet.ReplyOK, nil
+}
 
 func (*fakeDeps) Stop(context.Context, fleet.Order) (fleet.Reply, error) { return fleet.ReplyOK, nil }
 
