--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -45,6 +45,10 @@
 	// tickDelay is the time between a change and the scheduler's tick, so that a
 	// burst of messages leads to one placement pass.
 	tickDelay = 6 * time.Millisecond
+	// maxLag is how long a message may wait for the control goroutine before that is
+	// logged, once in lagLogInterval.
+	maxLag         = 250 * time.Millisecond
+	lagLogInterval = time.Second
 )
 
 // RecordStore reads and writes the stored state of the fleet. Package record describes
@@ -60,7 +64,9 @@
 
 // WorkerClient sends orders to workers.
 type WorkerClient interface {
-	Start(ctx context.Context, o fleet.Order) (fleet.Reply, error)
+	// Start sends a start. It calls maySend once, right before it writes the order to a
+	// connection; if that returns false, it sends nothing and replies ReplyNotSent.
+	Start(ctx context.Context, o fleet.Order, maySend func() bool) (fleet.Reply, error)
 	Stop(ctx context.Context, o fleet.Order) (fleet.Reply, error)
 	Heartbeat(ctx context.Context, o fleet.Order) (fleet.RunLists, fleet.Reply, error)
 }
@@ -83,6 +89,9 @@
 	// Authority sets the age of the last confirmation of the ownership record and how
 	// many workers of earlier owners this owner still waits for; 0 on other processes.
 	Authority(recordAge time.Duration, unreached int)
+	// Mailbox records how long the oldest message of a burst has waited for the control
+	// goroutine, and how many messages the mailbox held then.
+	Mailbox(lag time.Duration, queued int)
 }
 
 // Owner is the control state of one process.
@@ -106,7 +115,9 @@
 	// stepped down. If the process then owns the fleet again under an earlier epoch, the
 	// job is at fault, and the process schedules the other jobs.
 	yieldedToEpoch core.Epoch
-	peers          *peers
+	// permits holds the permits of the starts that have not been answered.
+	permits map[jobs.TaskID]*permit
+	peers   *peers
 	// onOwner is called when the owner of the fleet changes and when this process
 	// starts to schedule.
 	onOwner func(rec elect.Record, isOwner bool)
@@ -148,8 +159,10 @@
 	// rosterVersion.
 	rosterToStore []fleet.RosterEntry
 	rosterVersion uint64
-	draining      bool
-	drained       chan struct{}
+	// nextLagLog is the earliest time of the next log line on a late control goroutine.
+	nextLagLog time.Time
+	draining   bool
+	drained    chan struct{}
 }
 
 // Option configures an owner.
@@ -186,7 +199,7 @@
 func New(l *loop.Loop, deps Deps, self elect.Record, claimDelay time.Duration, limits fleet.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
-		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), changesInterval: maxChangesInterval,
+		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), permits: map[jobs.TaskID]*permit{}, changesInterval: maxChangesInterval,
 		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
 		drained: make(chan struct{}),
 	}
@@ -255,10 +268,24 @@
 	}
 }
 
+// Lagged implements loop.Observer.
+func (o *Owner) Lagged(now time.Time, lag time.Duration, queued int) {
+	o.meter.Mailbox(lag, queued)
+	if lag < maxLag || now.Before(o.nextLagLog) {
+		return
+	}
+	o.nextLagLog = now.Add(lagLogInterval)
+	o.log.WithFields(logrus.Fields{"lag": ageText(lag), "queued": queued, "owning": o.scheduler != nil}).Warn("control goroutine is late")
+}
+
 // Tick implements loop.Handler.
 func (o *Owner) Tick(now time.Time) time.Time {
 	o.onTick()
-	maySendOrders := o.election.CheckSuspension(now, clock.BootTime(), clock.Monotonic())
+	bootTime := clock.BootTime()
+	maySendOrders := o.election.CheckSuspension(now, bootTime, clock.Monotonic())
+	if d := o.election.Suspension(); d > 0 {
+		o.handleSuspension(now, d)
+	}
 	o.readRecord(now)
 	o.readWorkers(now)
 	next := now.Add(elect.ReadInterval)
@@ -270,7 +297,7 @@
 		o.deleteExpired(now)
 		o.readParked(now)
 		if !now.Before(o.nextTick) {
-			o.tick(now)
+			o.tick(now, bootTime-time.Since(now))
 		}
 		next = o.nextTick.Add(time.Millisecond)
 	}
@@ -283,12 +310,13 @@
 	return next
 }
 
-// tick runs the scheduler and sends its orders, advice requests and room hints.
-func (o *Owner) tick(now time.Time) {
+// tick runs the scheduler and sends its orders, advice requests and room hints. Decided is
+// now as boot time.
+func (o *Owner) tick(now time.Time, decided time.Duration) {
 	began := time.Now()
 	next := o.scheduler.Tick(now)
 	o.stageRoster()
-	o.dispatch(o.scheduler.Orders())
+	o.dispatch(o.scheduler.Orders(), decided)
 	o.sendAdviceRequests(now)
 	o.sendRoomHint(now)
 	o.meter.Placement(time.Since(began))
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -69,7 +69,9 @@
 
 func (*fakeDeps) Delete(context.Context, []core.JobID) error { return nil }
 
-func (*fakeDeps) Start(context.Context, fleet.Order) (fleet.Reply, error) { return fleet.ReplyOK, nil }
+func (*fakeDeps) Start(context.Context, fleet.Order, func() bool) (fleet.Reply, error) {
+	return fleet.ReplyOK, nil
+}
 
 func (*fakeDeps) Stop(context.Context, fleet.Order) (fleet.Reply, error) { return fleet.ReplyOK, nil }
 
@@ -89,6 +91,7 @@
 func (*fakeDeps) SetOwning(bool)                     {}
 func (*fakeDeps) Claim(elect.ClaimReason)            {}
 func (*fakeDeps) Authority(time.Duration, int)       {}
+func (*fakeDeps) Mailbox(time.Duration, int)         {}
 
 // allDeps combines the dependencies of an owner.
 type allDeps interface {
