Stops that need no repetition cost nothing in a tick

Each tick looked at all tasks on all workers for stops to send again, 167 times a second at grown size: 0.71 of 4.2 s in a profile of BenchmarkGrownFleet. The scheduler now knows the earliest time at which any stop may have to be sent again; when that is does not change.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -27,8 +27,6 @@
 	// have started cannot start on another worker until all workers have
 	// answered.
 	firstHeartbeatRetry = 50 * time.Millisecond
-	// stopRetry is the delay before an unanswered stop is sent again.
-	stopRetry = 500 * time.Millisecond
 	// maxAckAge is the age of a worker's last answer from which on its ends are not
 	// acknowledged: it may have restarted since, and must answer once more first.
 	maxAckAge = 500 * time.Millisecond
@@ -87,6 +85,7 @@
 func (w *Worker) resetIncarnation() {
 	w.scheduler.counts.Lapses++
 	w.unknownRuns, w.blockedSince = nil, time.Time{}
+	w.scheduler.stopRepeat.schedule(time.Time{})
 	for _, t := range w.tasks {
 		t.stopSentAt, t.stopAckedAt = time.Time{}, time.Time{}
 	}
@@ -372,23 +371,6 @@
 	s.resolveRecovered()
 }
 
-// repeatStops sends unanswered stops again.
-func (s *Scheduler) repeatStops() {
-	for _, w := range s.sortedWorkers {
-		for _, t := range w.tasks {
-			isStopping := t.state == taskDoubtful || t.state == taskStopping || t.state == taskLeaving
-			if isStopping && t.stopAckedAt.IsZero() && s.now.Sub(t.stopSentAt) > stopRetry {
-				t.orderStop()
-			}
-		}
-		for i := range w.orphans {
-			if w.orphans[i].stopAckedAt.IsZero() && s.now.Sub(w.orphans[i].stopSentAt) > stopRetry {
-				w.stopOrphan(i)
-			}
-		}
-	}
-}
-
 // lapseSilent marks the workers that do not answer as lapsed once their runs have
 // certainly ended.
 func (s *Scheduler) lapseSilent() {
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -148,6 +148,7 @@
 	starts     *budget.Budget
 	startTeams map[startID]core.Team
 	lastJobSeq uint64
+	stopRepeat stopRepeat
 	// needsPlacement is set when a change may let waiting tasks start.
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
--- a/core/fleet/start.go
+++ b/core/fleet/start.go
@@ -9,9 +9,13 @@
 
 // This file handles the orders that start and stop runs.
 
-// maxStartsInFlight bounds the starts that have not been answered, each of which takes a
-// goroutine and may take a connection. It is divided among the teams.
-const maxStartsInFlight = 1000
+const (
+	// maxStartsInFlight bounds the starts that have not been answered, each of which takes a
+	// goroutine and may take a connection. It is divided among the teams.
+	maxStartsInFlight = 1000
+	// stopRetry is the delay before an unanswered stop is sent again.
+	stopRetry = 500 * time.Millisecond
+)
 
 // startTask starts a run of the task on the worker.
 func (s *Scheduler) startTask(t *Task, f freeWorker, run uint64, checkpoint string) {
@@ -112,3 +116,44 @@
 	}
 	return nil
 }
+
+// stopRepeat is when unanswered stops are sent again.
+type stopRepeat struct {
+	// at is the earliest time at which any may have to be; zero if none may.
+	at time.Time
+}
+
+// schedule records that a stop was sent at a time, zero if it must be sent again at once.
+func (r *stopRepeat) schedule(sentAt time.Time) {
+	if at := sentAt.Add(stopRetry); r.at.IsZero() || at.Before(r.at) {
+		r.at = at
+	}
+}
+
+// repeatStops sends unanswered stops again.
+func (s *Scheduler) repeatStops() {
+	if s.stopRepeat.at.IsZero() || !s.now.After(s.stopRepeat.at) {
+		return
+	}
+	s.stopRepeat.at = time.Time{}
+	isDue := func(sentAt time.Time) bool {
+		due := s.now.Sub(sentAt) > stopRetry
+		if !due {
+			s.stopRepeat.schedule(sentAt)
+		}
+		return due
+	}
+	for _, w := range s.sortedWorkers {
+		for _, t := range w.tasks {
+			isStopping := t.state == taskDoubtful || t.state == taskStopping || t.state == taskLeaving
+			if isStopping && t.stopAckedAt.IsZero() && isDue(t.stopSentAt) {
+				t.orderStop()
+			}
+		}
+		for i := range w.orphans {
+			if w.orphans[i].stopAckedAt.IsZero() && isDue(w.orphans[i].stopSentAt) {
+				w.stopOrphan(i)
+			}
+		}
+	}
+}
--- a/core/fleet/task.go
+++ b/core/fleet/task.go
@@ -155,6 +155,7 @@
 		t.logRun("stop ordered", "task is "+taskChart.Name(t.state))
 	}
 	t.stopSentAt = s.now
+	s.stopRepeat.schedule(s.now)
 	s.counts.Stops++
 	s.addOrder(Order{Kind: OrderStop, Worker: t.worker.id, Task: t.ID(), Run: t.run})
 }
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -335,6 +335,7 @@
 		w.scheduler.logDecision(Decision{Job: o.task.Job, Event: "stop ordered", Worker: w.id, Task: o.task.String(), Run: o.run, Reason: "orphaned run"})
 	}
 	o.stopSentAt = w.scheduler.now
+	w.scheduler.stopRepeat.schedule(w.scheduler.now)
 	w.scheduler.counts.Stops++
 	w.scheduler.addOrder(Order{Kind: OrderStop, Worker: w.id, Task: o.task, Run: o.run})
 }
