A late owner calls its workers no more often without the store than with it

From 1.2 s after its last renewal an owner calls all workers every 0.4 s without wait, for the quorum: 2.4 calls a second and idle worker instead of 1.6. An owner that is short of processor time is late with its renewals, too, and so made more work for itself.

- An owner whose ticks are more than 150 ms apart counts as behind for 2 s and sends such heartbeats every 0.6 s, as often as those that wait.
Its contacts outlast that (1 s): no authority is lost with ticks 300 ms apart.
- They begin 1.3 s after the renewal, not 1.2 s: a heartbeat that waits, sent before, is answered before the 2 s are over.

Who may act, and what a successor waits for, are unchanged. TestLateOwnerCallsNoMore before (ticks 160 ms apart, without the store): 2.04 heartbeats a second and worker, 'not true: unrenewed <= ...'; after: 1.56, and 1.32 to 1.64 with ticks 200 to 300 ms apart.

--- a/core/fleet/authority.go
+++ b/core/fleet/authority.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"chicoryturn/core"
-	"chicoryturn/core/elect"
 )
 
 // This file bounds what an owner may do while it cannot confirm that the ownership record
@@ -25,8 +24,17 @@
 	// sent that it has answered.
 	contactTTL = time.Second
 	// contactInterval is the time between two heartbeats to a worker while only the
-	// workers' answers let the owner go on.
-	contactInterval = 400 * time.Millisecond
+	// workers' answers let the owner go on. An owner that is behind with its ticks sends them
+	// no more often than heartbeats that wait, so as not to fall further behind.
+	contactInterval     = 400 * time.Millisecond
+	lateContactInterval = heartbeatWait
+	// maxTickGap is the time between two ticks from which on an owner counts as behind, for
+	// behindTTL.
+	maxTickGap = 3 * tickInterval / 2
+	behindTTL  = 2 * time.Second
+	// contactLead is how long before the end of recordTTL the owner begins to send such
+	// heartbeats: those that wait and were sent before are answered by then.
+	contactLead = heartbeatWait + 100*time.Millisecond
 )
 
 // authority is what an owner knows of its ownership and of earlier owners.
@@ -53,6 +61,9 @@
 	// endedAt is when a worker that had not reported was last found to have ended or to
 	// have started again.
 	endedAt time.Time
+	// tickedAt is when the last tick was, behindUntil until when the owner counts as behind
+	// with its ticks.
+	tickedAt, behindUntil time.Time
 	// acting is whether the owner could start tasks and extend leases at the last tick.
 	acting bool
 }
@@ -239,9 +250,26 @@
 	}
 }
 
-// needsContacts reports whether the owner may soon depend on recent answers of the workers:
-// other processes may have claimed the record.
-func (s *Scheduler) needsContacts() bool { return s.sinceRenewal() > elect.SuspectTTL }
+// needsContacts reports whether the owner may soon depend on recent answers of the workers.
+func (s *Scheduler) needsContacts() bool { return s.sinceRenewal() > recordTTL-contactLead }
+
+// contactInterval returns the time between two heartbeats to a worker whose recent answers the
+// owner may depend on.
+func (s *Scheduler) contactInterval() time.Duration {
+	if s.now.Before(s.authority.behindUntil) {
+		return lateContactInterval
+	}
+	return contactInterval
+}
+
+// checkLateness records whether the owner is behind with its ticks.
+func (s *Scheduler) checkLateness() {
+	a := &s.authority
+	if !a.tickedAt.IsZero() && s.now.Sub(a.tickedAt) > maxTickGap {
+		a.behindUntil = s.now.Add(behindTTL)
+	}
+	a.tickedAt = s.now
+}
 
 // verify makes the task wait until the record has been confirmed after the end of its last
 // run was learned: a successor may know of that end as well, and start the task.
--- a/core/fleet/authority_test.go
+++ b/core/fleet/authority_test.go
@@ -409,3 +409,55 @@
 	f.JobsRead(f.now)
 	is.Equal(len(f.ForgetExpired(f.now, time.Minute, 10)), 1)
 }
+
+// serve runs the scheduler with a tick at each interval, while idle workers answer their
+// heartbeats 40 ms after the wait, 10 s with and 25 s without renewals of the record. It returns
+// how many heartbeats were sent in each part and how often the owner lost its authority.
+func (f *fixture) serve(interval time.Duration) (renewed, unrenewed, losses int) {
+	type answer struct {
+		order      fleet.Order
+		sentAt, at time.Time
+	}
+	var inFlight []answer
+	outage := f.now.Add(10 * time.Second)
+	for end := outage.Add(25 * time.Second); f.now.Before(end); f.advance(interval) {
+		inFlight = slices.DeleteFunc(inFlight, func(a answer) bool {
+			if a.at.After(f.now) {
+				return false
+			}
+			f.HeartbeatAnswered(f.now, a.order.Worker, a.sentAt, fleet.RunLists{Clock: f.now.Sub(startTime), Incarnation: a.order.Info.Incarnation})
+			return true
+		})
+		sent := &unrenewed
+		if f.now.Before(outage) {
+			sent = &renewed
+			f.Renewed(f.now)
+		}
+		f.Scheduler.Tick(f.now)
+		for _, o := range f.Orders() {
+			*sent++
+			inFlight = append(inFlight, answer{o, f.now, f.now.Add(o.Wait + 40*time.Millisecond)})
+		}
+		for _, e := range f.Decisions() {
+			if e.Event == "authority lost" {
+				losses++
+			}
+		}
+	}
+	return renewed, unrenewed, losses
+}
+
+// TestLateOwnerCallsNoMore guards against an owner that is behind and calls its workers more
+// often than heartbeats that wait, because its renewals are late, too; and against one that loses
+// its authority for want of calls.
+func TestLateOwnerCallsNoMore(t *testing.T) {
+	for tick, least := range map[time.Duration]time.Duration{10: 400, 100: 400, 160: 600, 200: 600, 250: 600, 300: 600} {
+		is := is.New(t)
+		f := newFixture(1, 10)
+		f.registerWorkers()
+		renewed, unrenewed, losses := f.serve(tick * time.Millisecond)
+		t.Logf("tick every %d ms: %.2f heartbeats a second and worker, %.2f without the store", tick, float64(renewed)/100, float64(unrenewed)/250)
+		is.True(unrenewed <= 10*int(25*time.Second/(least*time.Millisecond)+1))
+		is.Equal(losses, 0)
+	}
+}
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -405,7 +405,7 @@
 		case w.state != workerLive:
 			wait = 0
 			w.nextHeartbeat = s.now.Add(heartbeatRetry)
-		case needsContacts && sinceLast < contactInterval:
+		case needsContacts && sinceLast < s.contactInterval():
 			continue
 		case !needsContacts && !mayAck && sinceLast < s.limits.Lease/heartbeatDivisor:
 			// The worker would list the unacknowledged ends again at once.
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -47,6 +47,7 @@
 // when it must be called next.
 func (s *Scheduler) Tick(now time.Time) time.Time {
 	s.now = now
+	s.checkLateness()
 	s.buildDue()
 	if len(s.unresolved) > 0 || len(s.heldPhases) > 0 {
 		s.unreportedCapacity = s.sumUnreportedCapacity()
