--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -54,8 +54,13 @@
 }
 
 type benchRun struct {
-	run    uint64
-	endsAt time.Time
+	run               uint64
+	startedAt, endsAt time.Time
+}
+
+// percent returns the progress of the run.
+func (r benchRun) percent(now time.Time) int {
+	return int(100 * now.Sub(r.startedAt) / r.endsAt.Sub(r.startedAt))
 }
 
 // benchFleet is a scheduler at grown size with workers and VMs without faults.
@@ -190,16 +195,14 @@
 		if r.endsAt.After(b.now) {
 			continue
 		}
-		w.number++
-		w.ended = append(w.ended, fleet.EndedRun{Number: w.number, Task: id, Run: r.run, Kind: fleet.EndDone, Reason: "done"})
-		delete(w.active, id)
+		w.end(id, fleet.EndDone)
 	}
 	if w.heartbeat.Kind != fleet.OrderHeartbeat || len(w.ended) == 0 && b.now.Before(w.waitUntil) {
 		return 0
 	}
 	lists := fleet.RunLists{Clock: b.now.Sub(startTime), Incarnation: w.info.Incarnation, Ended: slices.Clone(w.ended)}
 	for id, r := range w.active {
-		lists.Active = append(lists.Active, fleet.ActiveRun{Task: id, Run: r.run, Percent: 1})
+		lists.Active = append(lists.Active, fleet.ActiveRun{Task: id, Run: r.run, Percent: r.percent(b.now)})
 	}
 	w.heartbeat = fleet.Order{}
 	b.answers++
@@ -207,6 +210,13 @@
 	return 1
 }
 
+// end ends a run.
+func (w *benchWorker) end(id jobs.TaskID, kind fleet.EndKind) {
+	w.number++
+	w.ended = append(w.ended, fleet.EndedRun{Number: w.number, Task: id, Run: w.active[id].run, Kind: kind, Reason: string(kind)})
+	delete(w.active, id)
+}
+
 // sendOrders carries out the orders of a tick.
 func (b *benchFleet) sendOrders() {
 	for _, o := range b.scheduler.Orders() {
@@ -214,8 +224,13 @@
 		switch o.Kind {
 		case fleet.OrderStart:
 			mean := benchQueues[b.specs[o.Task.Job]].runTime
-			w.active[o.Task] = benchRun{o.Run, b.now.Add(mean/2 + time.Duration(b.rng.Int64N(int64(mean))))}
+			w.active[o.Task] = benchRun{o.Run, b.now, b.now.Add(mean/2 + time.Duration(b.rng.Int64N(int64(mean))))}
 			b.scheduler.StartAnswered(b.now, o.Worker, o.Task, o.Run, fleet.ReplyOK)
+		case fleet.OrderStop:
+			if r, ok := w.active[o.Task]; ok && r.run == o.Run {
+				w.end(o.Task, fleet.EndOther)
+			}
+			b.scheduler.StopAnswered(b.now, o.Worker, o.Task, o.Run, fleet.ReplyOK)
 		case fleet.OrderHeartbeat:
 			w.heartbeat, w.sentAt, w.waitUntil = o, b.now, b.now.Add(max(o.Wait, benchStep))
 			w.ended = slices.DeleteFunc(w.ended, func(e fleet.EndedRun) bool { return e.Number <= o.AckedEnd })
