--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -27,8 +27,6 @@
 	// have started cannot start on another worker until all workers have
 	// answered.
 	firstHeartbeatRetry = 50 * time.Millisecond
-	// stopRetry is the delay before an unanswered stop is sent again.
-	stopRetry = 500 * time.Millisecond
 	// maxAckAge is the age of a worker's last answer from which on its ends are not
 	// acknowledged: it may have restarted since, and must answer once more first.
 	maxAckAge = 500 * time.Millisecond
@@ -92,6 +90,7 @@
 func (w *Worker) resetIncarnation() {
 	w.scheduler.counts.Lapses++
 	w.unknownRuns, w.blockedSince = nil, time.Time{}
+	w.scheduler.stopRepeat.schedule(time.Time{})
 	for _, t := range w.tasks {
 		t.stopSentAt, t.stopAckedAt = time.Time{}, time.Time{}
 	}
@@ -221,13 +220,17 @@
 			endsWaiting[runID{e.Task, e.Run}] = struct{}{}
 		}
 	}
-	for _, t := range w.sortedTasks() {
-		id := runID{t.ID(), t.run}
-		_, isActive := listed[id]
-		if _, hasEnded := endsWaiting[id]; !isActive && !hasEnded {
-			t.runNotListed(sentAt, len(l.Ended))
+	var notListed []*Task
+	for id, t := range w.tasks {
+		_, isActive := listed[runID{id, t.run}]
+		if _, hasEnded := endsWaiting[runID{id, t.run}]; !isActive && !hasEnded {
+			notListed = append(notListed, t)
 		}
 	}
+	sortTasks(notListed)
+	for _, t := range notListed {
+		t.runNotListed(sentAt, len(l.Ended))
+	}
 	w.orphans = slices.DeleteFunc(w.orphans, func(o orphanedRun) bool {
 		_, ok := listed[runID{o.task, o.run}]
 		// A run that neither list names after the worker acknowledged its stop
@@ -377,23 +380,6 @@
 	s.resolveRecovered()
 }
 
-// repeatStops sends unanswered stops again.
-func (s *Scheduler) repeatStops() {
-	for _, w := range s.sortedWorkers {
-		for _, t := range w.tasks {
-			isStopping := t.state == taskDoubtful || t.state == taskStopping || t.state == taskLeaving
-			if isStopping && t.stopAckedAt.IsZero() && s.now.Sub(t.stopSentAt) > stopRetry {
-				t.orderStop()
-			}
-		}
-		for i := range w.orphans {
-			if w.orphans[i].stopAckedAt.IsZero() && s.now.Sub(w.orphans[i].stopSentAt) > stopRetry {
-				w.stopOrphan(i)
-			}
-		}
-	}
-}
-
 // lapseSilent marks the workers that do not answer as lapsed once their runs have
 // certainly ended.
 func (s *Scheduler) lapseSilent() {
@@ -424,7 +410,7 @@
 		case w.state != workerLive:
 			wait = 0
 			w.nextHeartbeat = s.now.Add(heartbeatRetry)
-		case needsContacts && sinceLast < contactInterval:
+		case needsContacts && sinceLast < s.contactInterval():
 			continue
 		case !needsContacts && !mayAck && sinceLast < s.limits.Lease/heartbeatDivisor:
 			// The worker would list the unacknowledged ends again at once.
