Processes that find an old record claim in the order of their delays

After all VMs had been down for longer than a claim delay and TTL, any VM could become the owner: also one with 10 Mbit/s and 0.192 of a core, which takes its time to load and to answer.

Cause: Observe compares the claim delay with the record's age by the store's clock. A record that is already old at the first read satisfies every delay at once, so the first reader claims.

Evidence: TestDelayOrdersClaimsOfOldRecord failed before ("0 != 4200", "0 != 300": a process with a delay of 4.2 s claimed at its first read of a record 10 s old, expired or resigned).

A process now also waits its delay from when it first saw the record as it is; for a resigned record from its first read of any, so that a planned hand-over among watchers takes no longer. An earlier process on the same VM, or one that is seen to have ended, is replaced as before. A watcher has seen an expired record for longer than its delay when it claims: TestWatcherClaimsWithoutSecondDelay.

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -98,9 +98,9 @@
 	record  Record
 	version uint64
 	// changedAt is when the present version was first seen, readAt when the row
-	// was last read.
-	changedAt, readAt time.Time
-	readFailedAt      time.Time
+	// was last read, firstReadAt when it was first read.
+	changedAt, readAt, firstReadAt time.Time
+	readFailedAt                   time.Time
 	// storeClock is the store's clock as received at storeClockAt.
 	storeClock   time.Duration
 	storeClockAt time.Time
@@ -221,6 +221,9 @@
 		return false
 	}
 	e.setStoreClock(now, o.Clock)
+	if e.firstReadAt.IsZero() {
+		e.firstReadAt = now
+	}
 	holdsRecord := rec.Holder == e.self.Holder
 	// The row shows whether a write without an answer has taken effect.
 	e.outcomeUnknown = false
@@ -250,16 +253,18 @@
 		return false
 	}
 	wait, reason := e.claimDelay, ClaimExpired
+	// Processes that find an old record at the same time claim in the order of their delays.
+	delayedFrom := e.changedAt
 	switch {
 	case rec.Holder == "":
-		reason = ClaimResigned
+		reason, delayedFrom = ClaimResigned, e.firstReadAt
 		if version == 0 {
 			reason = ClaimNoRecord
 		}
 	case rec.VM == e.self.VM || rec.Holder == e.endedHolder:
 		// Only one process at a time can bind the VM's address, so an earlier
 		// holder on this VM has ended.
-		reason = ClaimEnded
+		reason, delayedFrom = ClaimEnded, time.Time{}
 		if rec.VM == e.self.VM {
 			reason = ClaimSameVM
 		}
@@ -269,7 +274,7 @@
 	default:
 		wait += TTL
 	}
-	if e.recordAge(now) < wait {
+	if e.recordAge(now) < wait || now.Sub(delayedFrom) < e.claimDelay {
 		return false
 	}
 	e.replacedAt, e.claim = e.changedAt, Claim{Reason: reason, RecordAge: e.recordAge(now)}
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -279,3 +279,66 @@
 		})
 	}
 }
+
+// TestDelayOrdersClaimsOfOldRecord guards against a small VM that becomes the owner because the
+// record was old when all processes started. Cases: the last owner, and when a process of the
+// given claim delay must claim, in milliseconds after its first read.
+func TestDelayOrdersClaimsOfOldRecord(t *testing.T) {
+	expired, resigned, sameVM := otherRecord(1), otherRecord(1), otherRecord(1)
+	resigned.Holder = ""
+	sameVM.VM = "vm-a"
+	for name, c := range map[string]struct {
+		rec   elect.Record
+		delay time.Duration
+		want  int
+	}{
+		"expired, large VM":  {rec: expired, delay: 300 * time.Millisecond, want: 300},
+		"expired, small VM":  {rec: expired, delay: 4200 * time.Millisecond, want: 4200},
+		"resigned, large VM": {rec: resigned, delay: 300 * time.Millisecond, want: 300},
+		"resigned, small VM": {rec: resigned, delay: 4200 * time.Millisecond, want: 4200},
+		"same VM":            {rec: sameVM, delay: 300 * time.Millisecond, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := elect.New(elect.Record{Holder: "vm-a/1", VM: "vm-a"}, c.delay)
+			c.rec.Stamp = time.Minute
+			claimed := -1
+			for ms := 0; claimed < 0 && ms <= 10_000; ms += 100 {
+				clock := c.rec.Stamp + 10*time.Second + time.Duration(ms)*time.Millisecond
+				if e.Observe(at(ms), elect.Observation{Record: c.rec, Version: 5, Clock: clock}) {
+					claimed = ms
+				}
+			}
+			is.Equal(claimed, c.want)
+		})
+	}
+}
+
+// TestWatcherClaimsWithoutSecondDelay guards against changes of owner that take longer because of
+// the order among processes that have just started.
+func TestWatcherClaimsWithoutSecondDelay(t *testing.T) {
+	for name, c := range map[string]struct {
+		resigned bool
+		want     int
+	}{"expired": {want: 2500 + 600 - 100}, "resigned": {resigned: true, want: 700}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := elect.New(elect.Record{Holder: "vm-a/1", VM: "vm-a"}, 600*time.Millisecond)
+			rec := otherRecord(1)
+			rec.Stamp = time.Minute
+			// The record is 100 ms old when it is read at 0 ms.
+			claimed := -1
+			for ms := 0; claimed < 0 && ms <= 10_000; ms += 100 {
+				version := uint64(5)
+				if c.resigned && ms >= 700 {
+					rec.Holder, version = "", 6
+				}
+				clock := rec.Stamp + time.Duration(100+ms)*time.Millisecond
+				if e.Observe(at(ms), elect.Observation{Record: rec, Version: version, Clock: clock}) {
+					claimed = ms
+				}
+			}
+			is.Equal(claimed, c.want)
+		})
+	}
+}
