A load reads fewer pages in parallel on a slow link, and repeats a page alone

A new owner behind a link of 10 Mbit/s never finished its load: callers had an owner that held its record, renewed it and decided nothing.

Cause: Load reads 32 partitions in parallel. On that link the answers of 32 partitions of 56 KB take 1.4 s, and a read is given up after 0.2 to 1.3 s, and by the platform's client after 1.5 s. One page without an answer failed the load, which then began anew, with the same outcome.

A load now begins with 8 reads in parallel, adds one for each that took less than 0.7 s, and halves their number when one has no answer. A page that fails is read again, up to four times, after 150 ms; pages that have been read are kept. The version of a partition is that of its first page as it was read, and progress is still read after all jobs, so both orders stay.

--- a/io/record/load.go
+++ b/io/record/load.go
@@ -58,23 +58,25 @@
 
 // Load reads the whole stored state. It reads partitions in parallel. It charges the jobs to
 // a budget and parks those that it does not admit. It reads the progress after the jobs, so
-// that a job without progress in the snapshot had none when the job was read.
+// that a job without progress in the snapshot had none when the job was read. A page that
+// cannot be read is read again; the error is that of the last of these reads.
 func (s *Store) Load(ctx context.Context, b *budget.Budget) (*Snapshot, error) {
 	out := &Snapshot{Progress: map[core.JobID]jobs.Progress{}}
 	f := &filter{budget: b}
 	found := make([]Snapshot, jobParts)
+	pages := newPace(s.client)
 	g, sub := errgroup.WithContext(ctx)
 	g.SetLimit(maxParallelReads)
 	for p := range jobParts {
 		found[p].filter = f
 		g.Go(func() error {
 			var err error
-			found[p].Version, err = s.scan(sub, table.Range{Table: jobTable, Part: partName(p)}, found[p].addJob)
+			found[p].Version, err = scan(sub, pages, table.Range{Table: jobTable, Part: partName(p)}, found[p].addJob)
 			return err
 		})
 	}
 	g.Go(func() error {
-		rows, damaged, err := s.roster(sub)
+		rows, damaged, err := roster(sub, pages)
 		out.Roster, out.RosterErrors = slices.Concat(rows...), damaged
 		s.mu.Lock()
 		s.loadedRoster = rows
@@ -92,7 +94,7 @@
 		out.RowErrors = append(out.RowErrors, p.RowErrors...)
 		out.Version = min(out.Version, p.Version)
 	}
-	unread, err := s.loadProgress(ctx, out, b.Limit())
+	unread, err := loadProgress(ctx, pages, out, b.Limit())
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +127,7 @@
 // loadProgress reads the progress of all jobs. That of jobs that have not ended takes at
 // most limit bytes, 0 for any number; the others are in unread. Of jobs that have ended it
 // keeps the state alone, if there is a limit.
-func (s *Store) loadProgress(ctx context.Context, out *Snapshot, limit int64) (unread core.Set[core.JobID], err error) {
+func loadProgress(ctx context.Context, pages reader, out *Snapshot, limit int64) (unread core.Set[core.JobID], err error) {
 	var mu sync.Mutex
 	used := int64(0)
 	unread = core.Set[core.JobID]{}
@@ -136,7 +138,7 @@
 			to = progressRangeStarts[i+1]
 		}
 		g.Go(func() error {
-			_, err := s.scan(sub, table.Range{Table: progressTable, Part: fleetPart, From: from, To: to}, func(row table.Row) {
+			_, err := scan(sub, pages, table.Range{Table: progressTable, Part: fleetPart, From: from, To: to}, func(row table.Row) {
 				p, err := decodeProgress(row)
 				mu.Lock()
 				defer mu.Unlock()
@@ -258,12 +260,17 @@
 	return p, nil
 }
 
+// reader reads pages of rows.
+type reader interface {
+	Read(ctx context.Context, r table.Range) (table.Page, error)
+}
+
 // scan calls add with each row of a range, page by page. It returns the version of the
 // first page, after which the feed holds every change that the scan may have missed.
-func (s *Store) scan(ctx context.Context, in table.Range, add func(table.Row)) (uint64, error) {
+func scan(ctx context.Context, client reader, in table.Range, add func(table.Row)) (uint64, error) {
 	first := uint64(0)
 	for {
-		p, err := s.client.Read(ctx, in)
+		p, err := client.Read(ctx, in)
 		if err != nil {
 			return 0, err
 		}
--- a/io/record/roster.go
+++ b/io/record/roster.go
@@ -112,9 +112,9 @@
 // roster reads the rows of the roster. Their range ends at "0", the character after the
 // "/" in their names. A row that cannot be decoded is empty and adds to the errors in
 // damaged.
-func (s *Store) roster(ctx context.Context) (rows [][]fleet.RosterEntry, damaged []error, err error) {
+func roster(ctx context.Context, client reader) (rows [][]fleet.RosterEntry, damaged []error, err error) {
 	pages := 0
-	_, err = s.scan(ctx, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"}, func(row table.Row) {
+	_, err = scan(ctx, client, table.Range{Table: fleetTable, Part: fleetPart, From: rosterName, To: rosterName + "0"}, func(row table.Row) {
 		var page rosterPage
 		if err := decode(row, &page); err != nil {
 			damaged = append(damaged, err)
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -44,8 +44,6 @@
 	// short because a retry may go through another VM, and most network partitions leave
 	// some VMs connected to the store.
 	clientRetryAfter = time.Second
-	// maxParallelReads bounds the partitions that are read in parallel.
-	maxParallelReads = 32
 )
 
 // NameError reports a row that holds the state of another job than its name says.
