An owner that does not serve gives up its record

For 36 s or more callers had an owner that held its streams open and its record, answered nobody within 0.6 s, and was not replaced.

Cause: renewing costs one small write and depends on nothing else. A process that had claimed and could not load, or whose control goroutine handled each message late, renewed for ever.

core/elect decides from what io/owner measures: how long each message has waited, and whether there is a schedule. After 20 s without a schedule while its renewals take effect, or with replies late for 6 s more than half of the time in time, the owner writes a vacated record with its last progress and stays in the election, 8 s behind the others.

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -77,6 +77,9 @@
 	// Held is what the accepted jobs take of the owner's memory; nil if the owner does
 	// not bound it. It is never changed in place.
 	Held *budget.Summary `json:",omitempty"`
+	// Yields counts the owners in a row that have given up the record because they did not
+	// serve.
+	Yields int `json:",omitempty"`
 }
 
 // Observation is the result of one read of the ownership record.
@@ -128,6 +131,10 @@
 	replacedAt time.Time
 	// claim is the last claim of this process.
 	claim Claim
+	// service tells how this process serves as the owner; yieldedAt is when it last tried to
+	// give up the record because it did not.
+	service   service
+	yieldedAt time.Time
 }
 
 // New returns the view of a process that has not read the ownership record yet.
@@ -252,7 +259,8 @@
 	if e.state != stateWatching {
 		return false
 	}
-	wait, reason := e.claimDelay, ClaimExpired
+	delay, reason := e.effectiveDelay(now), ClaimExpired
+	wait := delay
 	// Processes that find an old record at the same time claim in the order of their delays.
 	delayedFrom := e.changedAt
 	switch {
@@ -274,7 +282,7 @@
 	default:
 		wait += TTL
 	}
-	if e.recordAge(now) < wait || now.Sub(delayedFrom) < e.claimDelay {
+	if e.recordAge(now) < wait || now.Sub(delayedFrom) < delay {
 		return false
 	}
 	e.replacedAt, e.claim = e.changedAt, Claim{Reason: reason, RecordAge: e.recordAge(now)}
@@ -308,7 +316,10 @@
 // version that the row must still have.
 func (e *Election) NextRecord(now time.Time) (Record, uint64) {
 	rec := e.self
-	rec.Held = e.record.Held
+	rec.Held, rec.Yields = e.record.Held, e.record.Yields
+	if e.IsHolder() && e.service.settled {
+		rec.Yields = 0
+	}
 	rec.Stamp = e.estimateStoreClock(now)
 	rec.Epoch, rec.WriteNumber = e.record.Epoch, e.record.WriteNumber+1
 	if !e.IsHolder() {
--- /dev/null
+++ b/core/elect/service.go
@@ -0,0 +1,145 @@
+package elect
+
+import (
+	"time"
+
+	"chicoryturn/core"
+)
+
+// YieldReason is why an owner must give up the ownership record.
+type YieldReason string
+
+// The reasons for giving up the record.
+const (
+	// YieldUnready means that the owner has no schedule: it has not loaded the stored jobs.
+	YieldUnready YieldReason = "not-loaded"
+	// YieldLate means that the owner's replies come too late for other processes.
+	YieldLate YieldReason = "late"
+)
+
+const (
+	// ReplyTimeout is how long other processes wait for the owner's reply to a question.
+	ReplyTimeout = 600 * time.Millisecond
+	// minPatience is how long an owner may be without a schedule, and how long it owns the
+	// fleet at least, before it yields. Each owner in a row that has yielded doubles it, up to
+	// maxPatience, since the others may be no fitter.
+	minPatience = 20 * time.Second
+	maxPatience = 160 * time.Second
+	// An owner yields when its replies have been late for lateLimit more than the part
+	// 1/lateShare of the time in which they were not.
+	lateLimit = 6 * time.Second
+	lateShare = 2
+	// maxLateYields bounds the owners in a row that yield because they are late.
+	maxLateYields = 2
+	// settledAfter is how long an owner must serve before earlier yields count no more.
+	settledAfter = 30 * time.Second
+	// standBack is added to the claim delay of a process for unfitFor after it has yielded. It
+	// is longer than the claim delays of other processes.
+	standBack = 8 * time.Second
+	unfitFor  = 5 * time.Minute
+)
+
+// service tells how an owner serves the other processes.
+type service struct {
+	// epoch is that of the owner, since the start of its time.
+	epoch core.Epoch
+	since time.Time
+	// unreadySince is since when the owner has been without a schedule while it renewed its
+	// record; zero if it has one.
+	unreadySince time.Time
+	// goodSince is since when the owner has served; zero if it does not.
+	goodSince time.Time
+	settled   bool
+	// late is for how long replies have been late, less a part of the time since in which they
+	// were not, from 0 to lateLimit; handledAt is when the last message was handled.
+	late      time.Duration
+	handledAt time.Time
+}
+
+// MessageHandled records that a process handles a message that has waited for a time.
+func (e *Election) MessageHandled(now time.Time, waited time.Duration) {
+	if !e.IsHolder() {
+		return
+	}
+	s := &e.service
+	if !s.handledAt.IsZero() {
+		elapsed := now.Sub(s.handledAt)
+		late := min(max(waited-ReplyTimeout, 0), elapsed)
+		// After a longer stall other processes may claim the record in any case.
+		s.late += min(late, TTL) - (elapsed-late)/lateShare
+		s.late = min(max(s.late, 0), lateLimit)
+	}
+	s.handledAt = now
+}
+
+// CheckService reports whether the owner must give up the record because it does not serve,
+// and why. Ready tells whether it has a schedule, or lacks what no process has.
+func (e *Election) CheckService(now time.Time, ready bool) (reason YieldReason, yield bool) {
+	if !e.IsHolder() {
+		e.service = service{}
+		return "", false
+	}
+	s := &e.service
+	if s.since.IsZero() || s.epoch != e.record.Epoch {
+		*s = service{epoch: e.record.Epoch, since: now}
+	}
+	switch {
+	case ready:
+		s.unreadySince = time.Time{}
+	case s.unreadySince.IsZero() || now.Sub(e.renewedAt) > TTL:
+		// While the store does not take the record, no process can load.
+		s.unreadySince = now
+	}
+	switch {
+	case !ready || s.late > lateLimit/2:
+		s.goodSince = time.Time{}
+	case s.goodSince.IsZero():
+		s.goodSince = now
+	}
+	s.settled = !s.goodSince.IsZero() && now.Sub(s.goodSince) >= settledAfter
+	switch {
+	case !ready:
+		return YieldUnready, now.Sub(s.unreadySince) >= e.patience()
+	case s.late == lateLimit && e.record.Yields < maxLateYields:
+		return YieldLate, now.Sub(s.since) >= e.patience()
+	}
+	return "", false
+}
+
+// patience returns for how long this owner does not yield.
+func (e *Election) patience() time.Duration {
+	p := minPatience
+	for range e.record.Yields {
+		if p *= 2; p >= maxPatience {
+			return maxPatience
+		}
+	}
+	return p
+}
+
+// YieldRecord returns the record with which an owner that does not serve lets other processes
+// claim, and the version that the row must still have. For some time this process claims later
+// than the others.
+func (e *Election) YieldRecord(now time.Time) (Record, uint64) {
+	e.yieldedAt = now
+	rec, version := e.ResignRecord()
+	rec.Yields++
+	return rec, version
+}
+
+// Yielded handles a write of YieldRecord that has taken effect.
+func (e *Election) Yielded(now time.Time, rec Record, version uint64) {
+	e.fire(eventLost)
+	if version < e.version {
+		return
+	}
+	e.record, e.version, e.readAt, e.changedAt = rec, version, now, now
+}
+
+// effectiveDelay returns the time that this process adds before a claim now.
+func (e *Election) effectiveDelay(now time.Time) time.Duration {
+	if !e.yieldedAt.IsZero() && now.Sub(e.yieldedAt) < unfitFor {
+		return e.claimDelay + standBack
+	}
+	return e.claimDelay
+}
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"chicoryturn/core"
+	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/io/advice"
@@ -361,7 +362,7 @@
 
 // query sends a question to the owner and waits for the reply.
 func (c *Client) query(ctx context.Context, q *wire.Question) (*wire.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, elect.ReplyTimeout)
 	defer cancel()
 	n, reply := c.replies.add()
 	defer c.replies.remove(n)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -26,8 +26,6 @@
 	keepAliveTimeout  = time.Second
 	// sendQueueLen bounds the messages queued for one stream.
 	sendQueueLen = 512
-	// replyTimeout bounds the wait for the owner's reply to a question.
-	replyTimeout = 600 * time.Millisecond
 	// maxForwardAttempts bounds the VMs to which one call is forwarded in turn.
 	// forwardBackoff is how long a VM is not chosen after a call has failed
 	// there.
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -57,6 +57,16 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_claims_total{because=%q}", reason)).Inc()
 }
 
+// Yield counts one time that this process has given up the ownership record.
+func (meter) Yield(reason elect.YieldReason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_yields_total{because=%q}", reason)).Inc()
+}
+
+// MessageWait records how long a message has waited for the control goroutine.
+func (meter) MessageWait(waited time.Duration) {
+	metrics.GetOrCreateHistogram("chicoryturn_message_wait_seconds").Update(waited.Seconds())
+}
+
 // Authority sets on what the owner's orders rest.
 func (meter) Authority(recordAge time.Duration, unreached int) {
 	metrics.GetOrCreateGauge("chicoryturn_record_age_seconds", nil).Set(recordAge.Seconds())
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -291,12 +291,18 @@
 		memory /= reloadDivisor
 	}
 	accepted := fleet.NewAcceptedBudget(memory, o.policy)
+	abandoned, abandon := context.WithCancel(context.Background())
+	o.abandonLoad = abandon
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(abandoned, cancel)()
 		began := time.Now()
 		snapshot, err := guard.Call(func() (*record.Snapshot, error) { return o.records.Load(ctx, accepted) })
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.snapshotLoadInFlight = false
+			abandon()
 			if !o.election.IsHolder() {
 				return
 			}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -80,6 +80,10 @@
 	SetOwning(isOwner bool)
 	// Claim counts a claim of the ownership record by its reason.
 	Claim(reason elect.ClaimReason)
+	// Yield counts the times that this owner has given up the ownership record by reason.
+	Yield(reason elect.YieldReason)
+	// MessageWait records how long a message has waited for the control goroutine.
+	MessageWait(waited time.Duration)
 	// Authority sets the age of the last confirmation of the ownership record and how
 	// many workers of earlier owners this owner still waits for; 0 on other processes.
 	Authority(recordAge time.Duration, unreached int)
@@ -133,6 +137,8 @@
 	nextRecordRead, nextWorkersRead, nextChangesRead                                                        time.Time
 	nextWrite, nextTick, nextHint                                                                           time.Time
 	lastWrite                                                                                               time.Time
+	// abandonLoad ends the snapshot load in flight.
+	abandonLoad context.CancelFunc
 	// unappliedSnapshot is a snapshot that was loaded before the process had a
 	// configuration, or nil.
 	unappliedSnapshot *loadedSnapshot
@@ -189,7 +195,7 @@
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
 		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), changesInterval: maxChangesInterval,
-		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
+		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {}, abandonLoad: func() {},
 		drained: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -208,28 +214,29 @@
 // Handle implements loop.Handler.
 func (o *Owner) Handle(now time.Time, m loop.Message) {
 	if a, ok := m.(action); ok {
+		waited := now.Sub(a.postedAt)
+		o.election.MessageHandled(now, waited)
+		o.meter.MessageWait(waited)
 		a.run(o, now)
 	}
 }
 
 // action is a message that the control goroutine runs.
-type action interface {
-	loop.Message
-	run(o *Owner, now time.Time)
+type action struct {
+	postedAt time.Time
+	run      func(o *Owner, now time.Time)
 }
 
-// actionFunc is an action that calls a function.
-type actionFunc func(o *Owner, now time.Time)
+// newAction returns an action that is posted now.
+func newAction(f func(o *Owner, now time.Time)) action { return action{time.Now(), f} }
 
 // Message implements loop.Message.
-func (actionFunc) Message() {}
-
-func (f actionFunc) run(o *Owner, now time.Time) { f(o, now) }
+func (action) Message() {}
 
 // post runs f on the control goroutine; traffic goroutines call it.
 func (o *Owner) post(f func(o *Owner, now time.Time)) {
 	// The error means that the loop has stopped, and the message is obsolete.
-	_ = o.loop.Post(actionFunc(f))
+	_ = o.loop.Post(newAction(f))
 }
 
 // async runs the function work, which does I/O, on a new goroutine and then the
@@ -237,7 +244,7 @@
 func (o *Owner) async(work func(ctx context.Context) func(o *Owner, now time.Time)) {
 	o.loop.Go(func(ctx context.Context) loop.Message {
 		if f := work(ctx); f != nil {
-			return actionFunc(f)
+			return newAction(f)
 		}
 		return nil
 	})
@@ -258,6 +265,7 @@
 func (o *Owner) Tick(now time.Time) time.Time {
 	o.onTick()
 	maySendOrders := o.election.CheckSuspension(now, clock.BootTime(), clock.Monotonic())
+	o.checkService(now)
 	o.readRecord(now)
 	o.readWorkers(now)
 	next := now.Add(elect.ReadInterval)
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -88,6 +88,8 @@
 func (*fakeDeps) Placement(time.Duration)            {}
 func (*fakeDeps) SetOwning(bool)                     {}
 func (*fakeDeps) Claim(elect.ClaimReason)            {}
+func (*fakeDeps) Yield(elect.YieldReason)            {}
+func (*fakeDeps) MessageWait(time.Duration)          {}
 func (*fakeDeps) Authority(time.Duration, int)       {}
 
 // allDeps combines the dependencies of an owner.
--- a/io/owner/requests.go
+++ b/io/owner/requests.go
@@ -37,7 +37,7 @@
 // query runs f on the control goroutine and returns its result.
 func query[R any](ctx context.Context, o *Owner, f func(o *Owner, now time.Time) R) (R, error) {
 	return loop.Ask(ctx, o.loop, func(reply chan<- R) loop.Message {
-		return actionFunc(func(o *Owner, now time.Time) { reply <- f(o, now) })
+		return newAction(func(o *Owner, now time.Time) { reply <- f(o, now) })
 	})
 }
 
--- /dev/null
+++ b/io/owner/service.go
@@ -0,0 +1,66 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryturn/core/elect"
+	"chicoryturn/io/guard"
+	"chicoryturn/io/record"
+	"chicoryturn/io/table"
+)
+
+// checkService gives up the ownership record if this process holds it and does not serve.
+func (o *Owner) checkService(now time.Time) {
+	// Without a configuration no process can make a schedule.
+	reason, yield := o.election.CheckService(now, o.scheduler != nil || o.unappliedSnapshot != nil)
+	if !yield || o.draining || o.recordWriteInFlight || o.recordReadInFlight || o.election.MustRead() || now.Before(o.nextWrite) {
+		return
+	}
+	o.yield(now, reason)
+}
+
+// yield lets other processes claim the ownership record and stores the last progress.
+func (o *Owner) yield(now time.Time, reason elect.YieldReason) {
+	vacated, version := o.election.YieldRecord(now)
+	write := record.OwnerWrite{Record: vacated, Version: version}
+	if o.scheduler != nil {
+		write.Progress = o.scheduler.Batch()
+	}
+	log := o.log.WithFields(logrus.Fields{"epoch": vacated.Epoch, "because": reason, "yields": vacated.Yields})
+	log.Warn("giving up ownership")
+	o.meter.Yield(reason)
+	o.recordWriteInFlight = true
+	o.discardScheduler(string(reason))
+	o.abandonLoad()
+	o.async(func(ctx context.Context) func(*Owner, time.Time) {
+		result, err := guard.Call(func() (table.WriteResult, error) { return o.records.Write(ctx, write) })
+		return func(o *Owner, now time.Time) {
+			o.recordWriteInFlight = false
+			o.handleYield(now, vacated, result, err, log)
+		}
+	})
+}
+
+// handleYield handles the outcome of the write of a vacated record.
+func (o *Owner) handleYield(now time.Time, vacated elect.Record, result table.WriteResult, err error, log *logrus.Entry) {
+	o.nextRecordRead = now
+	if err == nil {
+		o.election.Yielded(now, vacated, result.Version)
+		log.Info("ownership given up")
+		o.onRecord(vacated)
+		o.announceOwner()
+		o.peers.notifyResigned()
+		return
+	}
+	log.WithError(err).Warn("ownership not given up")
+	o.nextWrite = now.Add(retryInterval)
+	if record.Refused(err) {
+		o.election.WriteRefused()
+	} else {
+		o.election.WriteContested(now)
+	}
+	o.retryLoad()
+}
