VMs tell when the owner answers no questions though its stream is open

For 36 s callers on several VMs were told that no owner answers, and no line of these VMs told since when, or when it answered again: only the ends of streams were logged.

A VM now logs one line when no question of its has been answered for 2 s while its stream was open, and one at the next answer, with the owner's incarnation and the time. Questions more than 3 s apart tell nothing of the time between them.

--- a/io/link/client.go
+++ b/io/link/client.go
@@ -63,6 +63,7 @@
 	// onRoomHint is called with the workers of each room hint.
 	onRoomHint func([]core.WorkerID)
 	replies    *pendingReplies[*wire.Reply]
+	answers    answers
 	forwarder  *forwarder
 }
 
@@ -370,13 +371,28 @@
 	if !c.send(&wire.Up{Kind: &wire.Up_Question{Question: q}}) {
 		return nil, &ClosedError{"not connected"}
 	}
+	sentAt := time.Now()
 	select {
 	case r, ok := <-reply:
 		if !ok {
 			return nil, &ClosedError{"the stream has ended"}
 		}
+		if since, changed := c.answers.answered(time.Now()); changed {
+			c.logAnswers(since).Info("the owner answers again")
+		}
 		return r, nil
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			if since, changed := c.answers.unanswered(time.Now(), sentAt); changed {
+				c.logAnswers(since).Warn("the owner does not answer")
+			}
+		}
 		return nil, &ClosedError{ctx.Err().Error()}
 	}
 }
+
+// logAnswers returns an entry that names the owner and for how long it has not answered.
+func (c *Client) logAnswers(since time.Duration) *logrus.Entry {
+	owner, _ := c.currentOwner()
+	return c.log.WithFields(logrus.Fields{"owner": string(owner.Session), "after": since.Round(time.Millisecond).String()})
+}
