An owner does not yield for replies that were late during its load

Its load fills the link and the core for some seconds, and with more patience after earlier yields it could yield right after it had loaded. What was late before the schedule was ready counts no more, and it keeps the record for its patience from then on. TestLateLoadIsNoReasonToYield failed before.

--- a/core/elect/service.go
+++ b/core/elect/service.go
@@ -20,8 +20,8 @@
 const (
 	// ReplyTimeout is how long other processes wait for the owner's reply to a question.
 	ReplyTimeout = 600 * time.Millisecond
-	// minPatience is how long an owner may be without a schedule, and how long it owns the
-	// fleet at least, before it yields. Each owner in a row that has yielded doubles it, up to
+	// minPatience is how long an owner may be without a schedule, and how long it keeps the
+	// record with one, before it yields. Each owner in a row that has yielded doubles it, up to
 	// maxPatience, since the others may be no fitter.
 	minPatience = 20 * time.Second
 	maxPatience = 160 * time.Second
@@ -41,12 +41,11 @@
 
 // service tells how an owner serves the other processes.
 type service struct {
-	// epoch is that of the owner, since the start of its time.
+	// epoch is that of the owner.
 	epoch core.Epoch
-	since time.Time
-	// unreadySince is since when the owner has been without a schedule while it renewed its
-	// record; zero if it has one.
-	unreadySince time.Time
+	// readySince is since when the owner has a schedule, unreadySince since when it has been
+	// without one while it renewed its record. One of them is zero.
+	readySince, unreadySince time.Time
 	// goodSince is since when the owner has served; zero if it does not.
 	goodSince time.Time
 	settled   bool
@@ -80,15 +79,16 @@
 		return "", false
 	}
 	s := &e.service
-	if s.since.IsZero() || s.epoch != e.record.Epoch {
-		*s = service{epoch: e.record.Epoch, since: now}
+	if s.epoch != e.record.Epoch {
+		*s = service{epoch: e.record.Epoch}
 	}
 	switch {
-	case ready:
-		s.unreadySince = time.Time{}
-	case s.unreadySince.IsZero() || now.Sub(e.renewedAt) > TTL:
+	case ready && s.readySince.IsZero():
+		// What was late beside a load tells nothing of the time after it.
+		s.readySince, s.unreadySince, s.late = now, time.Time{}, 0
+	case !ready && (s.unreadySince.IsZero() || now.Sub(e.renewedAt) > TTL):
 		// While the store does not take the record, no process can load.
-		s.unreadySince = now
+		s.readySince, s.unreadySince = time.Time{}, now
 	}
 	switch {
 	case !ready || s.late > lateLimit/2:
@@ -101,7 +101,7 @@
 	case !ready:
 		return YieldUnready, now.Sub(s.unreadySince) >= e.patience()
 	case s.late == lateLimit && e.record.Yields < maxLateYields:
-		return YieldLate, now.Sub(s.since) >= e.patience()
+		return YieldLate, now.Sub(s.readySince) >= e.patience()
 	}
 	return "", false
 }
--- a/core/elect/service_test.go
+++ b/core/elect/service_test.go
@@ -146,3 +146,18 @@
 	rec, _ := e.Record()
 	is.Equal(rec.Yields, 0)
 }
+
+// TestLateLoadIsNoReasonToYield guards against an owner that yields as soon as it has loaded,
+// because its replies were late during the load.
+func TestLateLoadIsNoReasonToYield(t *testing.T) {
+	is := is.New(t)
+	e := newHolder(1)
+	late := func(time.Duration) time.Duration { return 2 * time.Second }
+	after, _ := yieldTime(e, false, 39*time.Second, late)
+	is.Equal(after, time.Duration(0))
+	e.StateLoaded()
+	_, yield := e.CheckService(at(39_500), true)
+	is.True(!yield)
+	_, yield = e.CheckService(at(80_000), true)
+	is.True(!yield)
+}
