--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -80,6 +80,9 @@
 	// Held is what the accepted jobs take of the owner's memory; nil if the owner does
 	// not bound it. It is never changed in place.
 	Held *budget.Summary `json:",omitempty"`
+	// Yields counts the owners in a row that have given up the record because they did not
+	// serve.
+	Yields int `json:",omitempty"`
 }
 
 // Observation is the result of one read of the ownership record.
@@ -101,9 +104,9 @@
 	record  Record
 	version uint64
 	// changedAt is when the present version was first seen, readAt when the row
-	// was last read.
-	changedAt, readAt time.Time
-	readFailedAt      time.Time
+	// was last read, firstReadAt when it was first read.
+	changedAt, readAt, firstReadAt time.Time
+	readFailedAt                   time.Time
 	// storeClock is the store's clock as received at storeClockAt.
 	storeClock   time.Duration
 	storeClockAt time.Time
@@ -139,6 +142,10 @@
 	// lostEpoch is the latest epoch of which this process has lost the state. It holds the
 	// record under a later one only: calls of the lost epoch may still be on their way.
 	lostEpoch core.Epoch
+	// service tells how this process serves as the owner; yieldedAt is when it last tried to
+	// give up the record because it did not.
+	service   service
+	yieldedAt time.Time
 }
 
 // New returns the view of a process that has not read the ownership record yet.
@@ -233,6 +240,9 @@
 		return false
 	}
 	e.setStoreClock(now, o.Clock)
+	if e.firstReadAt.IsZero() {
+		e.firstReadAt = now
+	}
 	holdsRecord := rec.Holder == e.self.Holder
 	// The row shows whether a write without an answer has taken effect.
 	e.outcomeUnknown = false
@@ -261,19 +271,22 @@
 	if e.state != stateWatching {
 		return false
 	}
-	wait, reason := e.claimDelay, ClaimExpired
+	delay, reason := e.claimDelay+e.standBack(now), ClaimExpired
+	wait := delay
+	// Processes that find an old record at the same time claim in the order of their delays.
+	delayedFrom := e.changedAt
 	switch {
 	case holdsRecord:
-		wait, reason = 0, ClaimStateLost
+		wait, reason, delayedFrom = e.standBack(now), ClaimStateLost, time.Time{}
 	case rec.Holder == "":
-		reason = ClaimResigned
+		reason, delayedFrom = ClaimResigned, e.firstReadAt
 		if version == 0 {
 			reason = ClaimNoRecord
 		}
 	case rec.VM == e.self.VM || rec.Holder == e.endedHolder:
 		// Only one process at a time can bind the VM's address, so an earlier
 		// holder on this VM has ended.
-		reason = ClaimEnded
+		reason, delayedFrom = ClaimEnded, time.Time{}
 		if rec.VM == e.self.VM {
 			reason = ClaimSameVM
 		}
@@ -283,7 +296,7 @@
 	default:
 		wait += TTL
 	}
-	if e.recordAge(now) < wait {
+	if e.recordAge(now) < wait || now.Sub(delayedFrom) < delay {
 		return false
 	}
 	e.replacedAt, e.claim = e.changedAt, Claim{Reason: reason, RecordAge: e.recordAge(now)}
@@ -319,7 +332,10 @@
 // version that the row must still have.
 func (e *Election) NextRecord(now time.Time) (Record, uint64) {
 	rec := e.self
-	rec.Held = e.record.Held
+	rec.Held, rec.Yields = e.record.Held, e.record.Yields
+	if e.IsHolder() && e.service.settled {
+		rec.Yields = 0
+	}
 	rec.Stamp = e.estimateStoreClock(now)
 	rec.Epoch, rec.WriteNumber = e.record.Epoch, e.record.WriteNumber+1
 	if !e.IsHolder() {
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -57,6 +57,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_claims_total{because=%q}", reason)).Inc()
 }
 
+// Yield counts one time that this process has given up the ownership record.
+func (meter) Yield(reason elect.YieldReason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_yields_total{because=%q}", reason)).Inc()
+}
+
 // Authority sets on what the owner's orders rest.
 func (meter) Authority(recordAge time.Duration, unreached int) {
 	metrics.GetOrCreateGauge("chicoryturn_record_age_seconds", nil).Set(recordAge.Seconds())
--- a/io/owner/lost_test.go
+++ b/io/owner/lost_test.go
@@ -115,7 +115,7 @@
 	}}}, nil
 }
 
-func (l *lossyDeps) Start(_ context.Context, o fleet.Order) (fleet.Reply, error) {
+func (l *lossyDeps) Start(_ context.Context, o fleet.Order, _ func() bool) (fleet.Reply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts = append(l.starts, o)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -86,6 +86,8 @@
 	SetOwning(isOwner bool)
 	// Claim counts a claim of the ownership record by its reason.
 	Claim(reason elect.ClaimReason)
+	// Yield counts the times that this owner has given up the ownership record by reason.
+	Yield(reason elect.YieldReason)
 	// Authority sets the age of the last confirmation of the ownership record and how
 	// many workers of earlier owners this owner still waits for; 0 on other processes.
 	Authority(recordAge time.Duration, unreached int)
@@ -142,6 +144,8 @@
 	nextRecordRead, nextWorkersRead, nextChangesRead                                                        time.Time
 	nextWrite, nextTick, nextHint                                                                           time.Time
 	lastWrite                                                                                               time.Time
+	// abandonLoad ends the snapshot load in flight.
+	abandonLoad context.CancelFunc
 	// unappliedSnapshot is a snapshot that was loaded before the process had a
 	// configuration, or nil.
 	unappliedSnapshot *loadedSnapshot
@@ -200,7 +204,7 @@
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
 		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), permits: map[jobs.TaskID]*permit{}, changesInterval: maxChangesInterval,
-		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {},
+		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {}, abandonLoad: func() {},
 		drained: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -270,6 +274,7 @@
 
 // Lagged implements loop.Observer.
 func (o *Owner) Lagged(now time.Time, lag time.Duration, queued int) {
+	o.election.MessagesHandled(now, lag)
 	o.meter.Mailbox(lag, queued)
 	if lag < maxLag || now.Before(o.nextLagLog) {
 		return
@@ -286,6 +291,7 @@
 	if d := o.election.Suspension(); d > 0 {
 		o.handleSuspension(now, d)
 	}
+	o.checkService(now)
 	o.readRecord(now)
 	o.readWorkers(now)
 	next := now.Add(elect.ReadInterval)
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -90,6 +90,7 @@
 func (*fakeDeps) Placement(time.Duration)            {}
 func (*fakeDeps) SetOwning(bool)                     {}
 func (*fakeDeps) Claim(elect.ClaimReason)            {}
+func (*fakeDeps) Yield(elect.YieldReason)            {}
 func (*fakeDeps) Authority(time.Duration, int)       {}
 func (*fakeDeps) Mailbox(time.Duration, int)         {}
 
