--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -281,6 +281,7 @@
 func (o *Owner) Tick(now time.Time) time.Time {
 	o.onTick()
 	bootTime := clock.BootTime()
+	decided := bootTime - time.Since(now)
 	maySendOrders := o.election.CheckSuspension(now, bootTime, clock.Monotonic())
 	if d := o.election.Suspension(); d > 0 {
 		o.handleSuspension(now, d)
@@ -296,7 +297,7 @@
 		o.deleteExpired(now)
 		o.readParked(now)
 		if !now.Before(o.nextTick) {
-			o.tick(now, bootTime-time.Since(now))
+			o.tick(now, decided)
 		}
 		next = o.nextTick.Add(time.Millisecond)
 	}
