A start is too old 1.2 s after its decision; other orders keep their bound

Since the bound of 0.3 s counted from the beginning of the placement pass for all orders, and up to the write for starts. The bound for the time from the dispatch to the goroutine is 0.3 s again, for all orders. A start must be written within 1.2 s of its decision: after as long a stall an owner must confirm its record anyway.

--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -6,16 +6,23 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 )
 
-// maxOrderAge is the longest time between the decision on an order and its
-// sending, including time during which the machine was suspended or the process
-// was stopped. An older order means that the process did not run, and may have been
-// replaced as the owner, or that the order waited for a connection.
-const maxOrderAge = 300 * time.Millisecond
+const (
+	// maxOrderAge is the longest time between the dispatch of an order and the beginning of
+	// its sending, including time during which the machine was suspended or the process
+	// was stopped. Goroutines start within a few ms, so an older order means that the
+	// process did not run and may have been replaced as the owner.
+	maxOrderAge = 300 * time.Millisecond
+	// maxStartAge is the longest time between the decision on a start and the moment at
+	// which it is written to a connection. After as long a stall of its control goroutine an
+	// owner must confirm its record.
+	maxStartAge = elect.SuspectTTL
+)
 
 // lateStart is the time from the decision on a start to its sending, and from there to the
 // answer, from which on its answer is logged.
@@ -34,11 +41,13 @@
 
 // dispatch sends each order on a separate goroutine. They were decided at the given boot time.
 func (o *Owner) dispatch(orders []fleet.Order, decided time.Duration) {
+	dispatched := clock.BootTime()
 	for _, ord := range orders {
 		p := o.permitFor(ord, decided)
 		o.async(func(ctx context.Context) func(*Owner, time.Time) {
-			out := outcome{sentAt: time.Now(), delay: clock.BootTime() - decided, reply: fleet.ReplyNotSent}
-			if out.delay <= maxOrderAge {
+			begins := clock.BootTime()
+			out := outcome{sentAt: time.Now(), delay: begins - decided, reply: fleet.ReplyNotSent}
+			if begins-dispatched <= maxOrderAge {
 				o.send(ctx, ord, p, &out)
 			}
 			return replyHandler(ord, p, out)
--- a/io/owner/permit.go
+++ b/io/owner/permit.go
@@ -24,7 +24,7 @@
 // take reports whether the start may be sent now.
 func (p *permit) take() bool {
 	delay := clock.BootTime() - p.decided
-	if delay > maxOrderAge || !p.used.CompareAndSwap(false, true) {
+	if delay > maxStartAge || !p.used.CompareAndSwap(false, true) {
 		return false
 	}
 	p.delay.Store(int64(delay))
