--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -10,6 +10,12 @@
 	"chicoryturn/core/fleet"
 )
 
+// The metrics of the mailbox are updated for each burst of messages.
+var (
+	mailboxLag      = metrics.NewHistogram("chicoryturn_mailbox_lag_seconds")
+	mailboxMessages = metrics.NewGauge("chicoryturn_mailbox_messages", nil)
+)
+
 // meter writes to the process's metrics.
 type meter struct{}
 
@@ -65,8 +71,8 @@
 
 // Mailbox records the lag of the control goroutine and sets the length of its mailbox.
 func (meter) Mailbox(lag time.Duration, queued int) {
-	metrics.GetOrCreateHistogram("chicoryturn_mailbox_lag_seconds").Update(lag.Seconds())
-	metrics.GetOrCreateGauge("chicoryturn_mailbox_messages", nil).Set(float64(queued))
+	mailboxLag.Update(lag.Seconds())
+	mailboxMessages.Set(float64(queued))
 }
 
 // SetOwning sets whether this process owns the fleet.
