Choosing workers for a phase looks up its queue once and allocates less

For each waiting phase, each of 350 workers was checked with a look-up of the queue, the unnamed ones were collected in a slice that grew, and sorted by a comparison that works out all its keys; phases whose request is in flight were ranked, too, each tick. What is chosen does not change.

--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -162,7 +162,7 @@
 
 // advisor returns the policy of the queue's placement advisor, if it has one.
 func (p *phase) advisor() core.Option[policy.Advisor] {
-	if q := p.job.scheduler.policy.Queues[p.job.Spec.Queue]; q != nil {
+	if q := p.queue(); q != nil {
 		return q.Advisor
 	}
 	return core.Option[policy.Advisor]{}
@@ -191,10 +191,9 @@
 		return
 	}
 	var lowYield []*phase
-	for _, p := range s.rankedPhases() {
+	for _, p := range s.rankedPhases((*phase).mayRequestAdvice) {
 		advisor, ok := p.advisor().Get()
-		isPending := !p.advice.requestedAt.IsZero() && now.Before(p.advice.lostAt)
-		if !ok || isPending || now.Before(p.advice.recheckAt) || !p.startable() || !peers.HasCapacity(advisor.Base) {
+		if !ok || !peers.HasCapacity(advisor.Base) {
 			continue
 		}
 		if workers := p.workersToRequest(advisor); len(workers) > 0 {
@@ -217,6 +216,13 @@
 	}
 }
 
+// mayRequestAdvice reports whether it may be worthwhile to request advice for the phase now.
+func (p *phase) mayRequestAdvice() bool {
+	now := p.job.scheduler.now
+	isPending := !p.advice.requestedAt.IsZero() && now.Before(p.advice.lostAt)
+	return !isPending && !now.Before(p.advice.recheckAt) && p.startable()
+}
+
 func (s *Scheduler) requestAdvice(peers AdvicePeers, p *phase, advisor policy.Advisor, workers []core.WorkerID) {
 	p.advice.markRequested(s.now, advisor, len(workers))
 	s.counts.Asks++
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -62,13 +62,13 @@
 // longer; other phases leave large free room to the tasks that need it.
 func (p *phase) adviceCandidates(advisor policy.Advisor) adviceCandidates {
 	s := p.job.scheduler
-	need := p.need()
+	need, queue := p.need(), p.queue()
 	// A ticket that expires before the call is answered cannot be combined with
 	// the tickets of its answer.
 	renewBefore := s.now.Add(ticketSlack + advisor.Cost(min(p.tasksWaiting, maxRequestWorkers)))
-	var out adviceCandidates
+	out := adviceCandidates{unnamed: make([]adviceCandidate, 0, max(len(s.sortedWorkers)-len(p.advice.named), 0))}
 	for _, w := range s.sortedWorkers {
-		if !p.canRunOn(w) {
+		if !p.canRunOn(w, queue) {
 			continue
 		}
 		candidate := adviceCandidate{w.id, p.slotsOn(w, need, w.free), (w.nameHash ^ p.job.hash) * hashMultiplier}
@@ -92,10 +92,14 @@
 // the number of tasks that they have room for.
 func sortCandidates(list []adviceCandidate, mostFirst bool) {
 	slices.SortFunc(list, func(x, y adviceCandidate) int {
-		if mostFirst {
-			return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(x.rank, y.rank))
+		sx, sy := x.slots, y.slots
+		if !mostFirst {
+			sx, sy = min(sx, 1), min(sy, 1)
 		}
-		return cmp.Or(cmp.Compare(min(y.slots, 1), min(x.slots, 1)), cmp.Compare(x.rank, y.rank))
+		if sx != sy {
+			return cmp.Compare(sy, sx)
+		}
+		return cmp.Compare(x.rank, y.rank)
 	})
 }
 
--- a/core/fleet/phase.go
+++ b/core/fleet/phase.go
@@ -158,7 +158,7 @@
 
 // maxAttempts returns how many failed runs of a task fail the job.
 func (p *phase) maxAttempts() int {
-	if q := p.job.scheduler.policy.Queues[p.job.Spec.Queue]; q != nil {
+	if q := p.queue(); q != nil {
 		return max(q.Attempts, 1)
 	}
 	return 1
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chicoryturn/core"
+	"chicoryturn/core/policy"
 )
 
 const (
@@ -76,13 +77,13 @@
 	latestStart time.Time
 }
 
-// rankedPhases returns the open phases with waiting tasks, the most urgent
+// rankedPhases returns the open phases with waiting tasks that are relevant, the most urgent
 // first: work that can still be on time before late work, then by the queue's
 // priority, then by the latest start that meets the deadline.
-func (s *Scheduler) rankedPhases() []*phase {
-	ranked := make([]rankedPhase, 0, len(s.openPhases))
+func (s *Scheduler) rankedPhases(isRelevant func(*phase) bool) []*phase {
+	var ranked []rankedPhase
 	for p := range s.openPhases {
-		if p.tasksWaiting == 0 {
+		if p.tasksWaiting == 0 || !isRelevant(p) {
 			continue
 		}
 		r := rankedPhase{phase: p}
@@ -98,7 +99,7 @@
 			r.lateness = 2
 		}
 		r.latestStart = p.job.deadline.Add(-timeToEnd)
-		if q := s.policy.Queues[p.job.Spec.Queue]; q != nil {
+		if q := p.queue(); q != nil {
 			r.priority = q.Priority
 		}
 		ranked = append(ranked, r)
@@ -142,18 +143,15 @@
 }
 
 // canRunOn reports whether the phase may run on the worker, whatever room is
-// free there.
-func (p *phase) canRunOn(w *Worker) bool {
-	s := p.job.scheduler
-	if !w.usable() || !p.need().FitsIn(w.info.Capacity) {
-		return false
-	}
-	if q := s.policy.Queues[p.job.Spec.Queue]; q == nil || q.Service != w.info.Service {
-		return false
-	}
-	return p.spec.Label == "" || slices.Contains(w.info.Labels, p.spec.Label)
+// free there. Its queue is q, nil if the policy has none.
+func (p *phase) canRunOn(w *Worker, q *policy.Queue) bool {
+	return q != nil && w.usable() && p.need().FitsIn(w.info.Capacity) && q.Service == w.info.Service &&
+		(p.spec.Label == "" || slices.Contains(w.info.Labels, p.spec.Label))
 }
 
+// queue returns the policy of the phase's queue, nil if there is none.
+func (p *phase) queue() *policy.Queue { return p.job.scheduler.policy.Queues[p.job.Spec.Queue] }
+
 // slotsOn returns how many tasks of the phase fit into the free room of a
 // worker.
 func (p *phase) slotsOn(w *Worker, need, free core.Resources) int {
@@ -220,10 +218,10 @@
 // freeWorkers returns the workers with room for the phase, the best first.
 func (p *phase) freeWorkers() []freeWorker {
 	s := p.job.scheduler
-	need := p.need()
+	need, queue := p.need(), p.queue()
 	var out []freeWorker
 	add := func(w *Worker, ticket string) {
-		if !p.canRunOn(w) {
+		if !p.canRunOn(w, queue) {
 			return
 		}
 		if n := p.slotsOn(w, need, w.free); n > 0 {
@@ -262,7 +260,7 @@
 // placeAll starts the tasks that fit, the most urgent first, and logs why other
 // phases wait.
 func (s *Scheduler) placeAll() {
-	for _, p := range s.rankedPhases() {
+	for _, p := range s.rankedPhases(func(*phase) bool { return true }) {
 		reason := p.blockReason()
 		switch {
 		case reason != "":
