io/fakes: bandwidths that proxied links share

A VM's links could be cut and delayed, not narrow, so no play had an owner whose link is filled. TestBandwidth: two links that share 1 MiB/s take 0.25 s for 128 KiB each.

--- a/io/fakes/proxy.go
+++ b/io/fakes/proxy.go
@@ -47,6 +47,8 @@
 	state atomic.Pointer[linkState]
 	// changed holds a channel that is closed and replaced whenever state changes.
 	changed atomic.Pointer[chan struct{}]
+	// limits holds the bandwidths to share by data to the server and from it.
+	limits atomic.Pointer[linkLimits]
 	// forwarded counts the bytes of both directions.
 	forwarded atomic.Int64
 }
@@ -58,6 +60,7 @@
 func NewProxy(addr netip.AddrPort) *Proxy {
 	p := &Proxy{addr: addr}
 	p.state.Store(&linkState{})
+	p.limits.Store(&linkLimits{})
 	c := make(chan struct{})
 	p.changed.Store(&c)
 	return p
@@ -171,6 +174,9 @@
 		n, err := from.Read(buf)
 		if n > 0 {
 			sleep(ctx, p.state.Load().delay)
+			for _, b := range p.limits.Load().of(isUp) {
+				b.wait(ctx, n)
+			}
 			if !p.waitUnblocked(ctx, func(s *linkState) bool { return s.Cut || (isUp && s.CutUp) || (!isUp && s.CutDown) }) {
 				return false
 			}
