A forgotten job that is read again takes nothing of its team's memory

TestForgottenJobRunsOnce compares what is held, and failed in the three cases of an unknown end before.

--- a/core/fleet/closed.go
+++ b/core/fleet/closed.go
@@ -97,7 +97,8 @@
 		return false
 	}
 	if !stub.Ended {
-		stub.Started = true
+		// It is not pending, and an ended job takes nothing of its team's memory.
+		stub.Started, stub.Bytes = true, 0
 		s.park(&parkedJob{Stub: stub})
 		s.urgentParked.Add(stub.ID)
 		s.logDecision(Decision{Job: stub.ID, Event: EventReadAgain, Reason: source + "; it had ended and been forgotten, or could not be read"})
--- a/core/fleet/forgotten_test.go
+++ b/core/fleet/forgotten_test.go
@@ -39,9 +39,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFixture(1, 1)
+			f := newFixture(1, 1).withMemory(smallMemory)
 			f.forgetJob(is, spec)
+			held := f.Held(f.now)
 			comeIn(f)
+			is.Equal(f.Held(f.now), held)
 			is.Equal(len(f.decisionsOf(fleet.EventReadAgain)), 1)
 			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
 			is.Equal(f.Pending()["q"], 0)
