A worker that answers has not drained

Callers: tasks of a leaving worker could run twice: its entry is removed from the list while it serves on, which it does for a while after its report, 'at times many seconds'. That the entry goes only with the process is the platform's word for it, which nothing here depended on otherwise.

Cause: a leaving worker whose entry vanished sooner than silence explains was gone at once, whatever it answered.

Evidence: TestDrainedWorkerStillAnswers failed ("1 != 0": the task started elsewhere while its worker answered that it runs it).

Fix: a worker counts as drained only once it has missed a heartbeat since its last answer, as it does at once when its process ends.

--- a/core/fleet/proof_test.go
+++ b/core/fleet/proof_test.go
@@ -250,6 +250,7 @@
 			if c.readFails {
 				f.ListFailed()
 			}
+			f.HeartbeatFailed(f.now, s.Worker)
 			f.advance(c.lastGap)
 			f.SetWorkers(f.now, f.list(slices.Delete(listed, i, i+1)))
 			f.heartbeat(f.workers[1-i], nil, nil)
@@ -259,6 +260,29 @@
 	}
 }
 
+// TestDrainedWorkerStillAnswers guards against a draining worker that counts as ended because
+// the platform has removed its entry, while it still answers.
+func TestDrainedWorkerStillAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 2)
+	s := f.startTask()
+	i := slices.IndexFunc(f.workers, func(w fleet.WorkerInfo) bool { return w.ID() == s.Worker })
+	listed := slices.Clone(f.workers)
+	for beat := range uint64(3) {
+		f.advance(500 * time.Millisecond)
+		listed[i].Leaving, listed[i].Renewals = true, beat
+		f.SetWorkers(f.now, f.list(listed))
+	}
+	listed = slices.Delete(listed, i, i+1)
+	for range 20 {
+		f.advance(500 * time.Millisecond)
+		f.SetWorkers(f.now, f.list(listed))
+		f.heartbeat(f.workers[1-i], nil, nil)
+		is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+		f.heartbeat(s.Info, []fleet.ActiveRun{{Task: s.Task, Run: s.Run}}, nil)
+	}
+}
+
 // TestRosterOmitsEndedWorkers guards against a change of owner that makes the fleet wait
 // again for a worker whose runs the former owner knew to have ended. The worker is used
 // again only once a roster that was made after its return has been stored.
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -260,9 +260,9 @@
 }
 
 // handleUnlisted handles a list without the worker, on which nothing is placed any
-// more. A worker that has drained is gone at once, and any other that still answers
-// keeps its runs. One that does not answer is gone after goneDelay if it has no runs
-// or if they have certainly ended.
+// more. A worker that still answers keeps its runs. One that does not is gone at once
+// if it has drained, and otherwise after goneDelay if it has no runs or if they have
+// certainly ended.
 func (w *Worker) handleUnlisted(listReceivedAt time.Duration) {
 	s := w.scheduler
 	w.listed = false
@@ -271,7 +271,7 @@
 	}
 	var reason proof
 	switch {
-	case w.hasDrained(listReceivedAt):
+	case w.state != workerLive && w.hasDrained(listReceivedAt):
 		reason = proofDrained
 	case s.now.Sub(w.missingSince) < goneDelay:
 		return
