--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -59,14 +59,15 @@
 
 // adviceCandidates collects the workers that a request may name. For a gang it
 // prefers the workers with the most room, since each one named makes the call
-// longer; other phases leave large free room to the tasks that need it.
+// longer; other phases leave large free room to the tasks that need it. The candidates are
+// valid until the next call.
 func (p *phase) adviceCandidates(advisor policy.Advisor) adviceCandidates {
 	s := p.job.scheduler
 	need, queue := p.need(), p.queue()
 	// A ticket that expires before the call is answered cannot be combined with
 	// the tickets of its answer.
 	renewBefore := s.now.Add(ticketSlack + advisor.Cost(min(p.tasksWaiting, maxRequestWorkers)))
-	out := adviceCandidates{unnamed: make([]adviceCandidate, 0, max(len(s.sortedWorkers)-len(p.advice.named), 0))}
+	out := adviceCandidates{unnamed: s.scratch.unnamed[:0]}
 	for _, w := range s.sortedWorkers {
 		if !p.canRunOn(w, queue) {
 			continue
@@ -83,6 +84,7 @@
 			out.expiring = append(out.expiring, candidate)
 		}
 	}
+	s.scratch.unnamed = out.unnamed
 	sortCandidates(out.expiring, true)
 	sortCandidates(out.unnamed, p.spec.Gang)
 	return out
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -215,11 +215,18 @@
 	score float64
 }
 
-// freeWorkers returns the workers with room for the phase, the best first.
+// scratch holds slices whose memory is used again, for the workers of one phase after another.
+type scratch struct {
+	free    []freeWorker
+	unnamed []adviceCandidate
+}
+
+// freeWorkers returns the workers with room for the phase, the best first. They are valid
+// until the next call.
 func (p *phase) freeWorkers() []freeWorker {
 	s := p.job.scheduler
 	need, queue := p.need(), p.queue()
-	var out []freeWorker
+	out := s.scratch.free[:0]
 	add := func(w *Worker, ticket string) {
 		if !p.canRunOn(w, queue) {
 			return
@@ -240,8 +247,12 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y freeWorker) int {
-		return cmp.Or(cmp.Compare(x.score, y.score), cmp.Compare(x.worker.id, y.worker.id))
+		if x.score != y.score {
+			return cmp.Compare(x.score, y.score)
+		}
+		return cmp.Compare(x.worker.id, y.worker.id)
 	})
+	s.scratch.free = out
 	return out
 }
 
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -149,6 +149,7 @@
 	startTeams map[startID]core.Team
 	lastJobSeq uint64
 	stopRepeat stopRepeat
+	scratch    scratch
 	// needsPlacement is set when a change may let waiting tasks start.
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
@@ -211,8 +212,7 @@
 		accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), advised: budget.New(0, 0),
 		adviceFreedAt: map[core.Team]time.Time{}, starts: budget.New(0, 0), startTeams: map[startID]core.Team{},
 		parked: map[core.JobID]*parkedJob{}, parkedOf: map[core.Team]parkedQueue{}, parkedBytes: map[core.Team]int64{},
-		urgentParked: core.Set[core.JobID]{}, dirty: map[core.JobID]*Job{},
-		reach: reach{since: now},
+		urgentParked: core.Set[core.JobID]{}, dirty: map[core.JobID]*Job{}, reach: reach{since: now},
 	}
 	s.resizeBudgets()
 	for _, o := range opts {
