--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -150,6 +150,7 @@
 	startTeams map[startID]core.Team
 	lastJobSeq uint64
 	stopRepeat stopRepeat
+	scratch    scratch
 	// needsPlacement is set when a change may let waiting tasks start.
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
