A fitter VM takes over from a small one that owns the fleet

A small VM renews its record like a large one, so it owned the fleet for good once it had become the owner.

Change: the record tells its holder's claim delay. A process whose own is shorter by a second or more claims the record of a living owner that it has seen for 5 s. What the successor may suppose of such an owner is unchanged: it is one that doesn't know of its successor.

TestFitterVMTakesOver failed before (-1, never, instead of 5600 ms). heldRow of TestStoredRowFormat, the row of later builds' fields, has Delay.

--- a/core/elect/claim.go
+++ b/core/elect/claim.go
@@ -21,10 +21,27 @@
 	// ClaimSuspected means that the record had not changed for SuspectTTL and its holder
 	// did not answer.
 	ClaimSuspected ClaimReason = "suspected"
+	// ClaimFitter means that the holder has a much longer claim delay than the claimant: it
+	// became the owner while no fitter process could.
+	ClaimFitter ClaimReason = "fitter"
 	// ClaimExpired means that the record had not changed for TTL.
 	ClaimExpired ClaimReason = "expired"
 )
 
+const (
+	// minAdvantage is by how much the holder's claim delay must exceed that of a process
+	// which claims the record for that alone, holderTime how long it must have seen the
+	// holder before.
+	minAdvantage = time.Second
+	holderTime   = 5 * time.Second
+)
+
+// isFitter reports whether this process should own the fleet rather than the holder of the
+// record.
+func (e *Election) isFitter(now time.Time) bool {
+	return e.record.Delay-e.self.Delay >= minAdvantage && e.standBack(now) == 0 && now.Sub(e.holderSeenAt) >= holderTime
+}
+
 // Claim is a claim of the ownership record.
 type Claim struct {
 	Reason ClaimReason
--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -83,6 +83,8 @@
 	// Yields counts the owners in a row that have given up the record because they did not
 	// serve.
 	Yields int `json:",omitempty"`
+	// Delay is the holder's claim delay; 0 if it is not known.
+	Delay time.Duration `json:",omitempty"`
 }
 
 // Observation is the result of one read of the ownership record.
@@ -104,9 +106,10 @@
 	record  Record
 	version uint64
 	// changedAt is when the present version was first seen, readAt when the row
-	// was last read, firstReadAt when it was first read.
-	changedAt, readAt, firstReadAt time.Time
-	readFailedAt                   time.Time
+	// was last read, firstReadAt when it was first read, holderSeenAt when it was first
+	// read with its present holder.
+	changedAt, readAt, firstReadAt, holderSeenAt time.Time
+	readFailedAt                                 time.Time
 	// storeClock is the store's clock as received at storeClockAt.
 	storeClock   time.Duration
 	storeClockAt time.Time
@@ -261,6 +264,9 @@
 	if version != e.version || e.changedAt.IsZero() || now.Sub(e.readAt) > maxReadGap {
 		e.changedAt = now
 	}
+	if rec.Holder != e.record.Holder || e.holderSeenAt.IsZero() {
+		e.holderSeenAt = now
+	}
 	e.record, e.version, e.readAt = rec, version, now
 	if holdsRecord && version > 0 && rec.Epoch > e.lostEpoch {
 		// A claim without an answer has taken effect.
@@ -290,6 +296,8 @@
 		if rec.VM == e.self.VM {
 			reason = ClaimSameVM
 		}
+	case e.isFitter(now):
+		wait, reason, delayedFrom = 0, ClaimFitter, time.Time{}
 	case rec.Holder == e.suspectHolder:
 		reason = ClaimSuspected
 		wait += SuspectTTL
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -395,3 +395,34 @@
 		})
 	}
 }
+
+// TestFitterVMTakesOver guards against a small VM that owns the fleet for good, since it renews its
+// record, although a large one is there. Cases: the claim delays of the owner and of a process that
+// reads the record, and when the latter claims, in milliseconds; -1 if never.
+func TestFitterVMTakesOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		owner, own time.Duration
+		want       int
+	}{
+		"large VM, small owner":  {owner: 4200 * time.Millisecond, own: 300 * time.Millisecond, want: 5600},
+		"small VM, small owner":  {owner: 4200 * time.Millisecond, own: 4200 * time.Millisecond, want: -1},
+		"small VM, large owner":  {owner: 300 * time.Millisecond, own: 4200 * time.Millisecond, want: -1},
+		"owner of unknown delay": {own: 300 * time.Millisecond, want: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := elect.New(elect.Record{Holder: "vm-a/1", VM: "vm-a", Delay: c.own}, c.own)
+			claimed := -1
+			for ms := 0; claimed < 0 && ms <= 20_000; ms += 700 {
+				rec := otherRecord(1)
+				rec.Delay = c.owner
+				if e.Observe(at(ms), elect.Observation{Record: rec, Version: uint64(5 + ms)}) {
+					claimed = ms
+					is.Equal(e.Claim().Reason, elect.ClaimFitter)
+					is.Equal(e.ReplacedAt(), at(ms))
+				}
+			}
+			is.Equal(claimed, c.want)
+		})
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -146,7 +146,7 @@
 	n.records, n.lister = record.New(adapt.New(store), record.WithReachability(store)), p.Lister(adapt.New(store))
 	n.entry = entry.New(n.records, toOwner, n.advice, meter{}, n.logger("entry"), entry.WithMemory(s.Limits.Memory))
 	n.session = newSessionID(s.VM)
-	candidate := elect.Record{Holder: n.session, VM: s.VM, Addr: s.Peers}
+	candidate := elect.Record{Holder: n.session, VM: s.VM, Addr: s.Peers, Delay: claimDelay(s)}
 	n.owner = owner.New(l, owner.Deps{Records: n.records, Workers: p.Workers, Lister: n.lister, Meter: meter{}}, candidate, claimDelay(s), s.Limits, n.logger("owner"),
 		owner.WithWorkersHook(n.entry.SetWorkers), owner.WithTickHook(n.entry.CheckPause), owner.WithRecordHook(n.entry.SetRecord),
 		owner.WithOwnerHook(func(r elect.Record, isOwner bool) { n.ownerChanged(toOwner, r, isOwner) }))
--- a/io/record/format_test.go
+++ b/io/record/format_test.go
@@ -175,7 +175,7 @@
 	checkAllSet(t, snap.Progress["full"])
 	checkAllSet(t, snap.Roster[0].WorkerInfo) // that build had no other fields
 	checkAllSet(t, snap.Roster[1].WorkerInfo)
-	checkAllSet(t, obs.Record, heldRecord(t)) // that build had neither Held nor Yields
+	checkAllSet(t, obs.Record, heldRecord(t)) // that build had no Held, Yields and Delay
 
 	again := newFakeTable()
 	store = startStore(t, again)
@@ -196,7 +196,7 @@
 
 // heldRow is an ownership record with the fields that later builds have added.
 const heldRow = `{"Holder":"sched-1","VM":"entry-1","Addr":"10.0.0.2:72","Epoch":22,"Beat":23,"Stamp":24,` +
-	`"Held":{"Rest":25,"Own":29,"Shared":26,"Teams":{"red":{"Bytes":27,"Rate":28}}},"Yields":30}`
+	`"Held":{"Rest":25,"Own":29,"Shared":26,"Teams":{"red":{"Bytes":27,"Rate":28}}},"Yields":30,"Delay":31}`
 
 // heldRecord returns the record of heldRow.
 func heldRecord(t *testing.T) elect.Record {
