Model: owners that load beside their scheduler, forget jobs and hear of them again

The harness counts deleted jobs as completed, reads no rows of them, and reads no feed during a load; that changes nothing for its other tests, which delete nothing.

--- a/core/fleet/checks_test.go
+++ b/core/fleet/checks_test.go
@@ -86,7 +86,7 @@
 func (h *harness) completedJobs() int {
 	n := 0
 	for id := range h.specs {
-		if h.storedProgress[id].State == jobs.Completed {
+		if h.deleted.Has(id) || h.storedProgress[id].State == jobs.Completed {
 			n++
 		}
 	}
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -92,6 +92,10 @@
 	// unannounced are stored jobs that the current owner reads at its next read of
 	// the store.
 	unannounced []jobs.Spec
+	// feedPaused keeps the current owner from reading new jobs from the store.
+	feedPaused bool
+	// deleted holds the jobs whose rows have been deleted after their end.
+	deleted core.Set[core.JobID]
 	// list returns the list of workers that an owner reads, or false if it cannot be
 	// read.
 	list func() (fleet.WorkerList, bool)
@@ -239,7 +243,7 @@
 				h.listWorkers(o)
 			}
 		}
-		if o := h.currentOwner(); h.network.reachesStore(o) {
+		if o := h.currentOwner(); h.network.reachesStore(o) && !h.feedPaused {
 			for _, s := range h.unannounced {
 				o.scheduler.Accept(h.nowOf(o), s)
 			}
--- a/core/fleet/repeat_test.go
+++ b/core/fleet/repeat_test.go
@@ -131,6 +131,9 @@
 	var specs []jobs.Spec
 	progress := map[core.JobID]jobs.Progress{}
 	for _, id := range ids {
+		if h.deleted.Has(id) {
+			continue
+		}
 		specs = append(specs, h.specs[id])
 		if p, ok := h.storedProgress[id]; ok {
 			progress[id] = p
