--- a/core/elect/service_test.go
+++ b/core/elect/service_test.go
@@ -161,3 +161,45 @@
 	_, yield = e.CheckService(at(80_000), true)
 	is.True(!yield)
 }
+
+// TestLateRepliesYield guards against an owner whose control state is in time while its replies
+// reach nobody. Cases: which of a hundred replies are late, and whether it yields within a minute.
+func TestLateRepliesYield(t *testing.T) {
+	for name, c := range map[string]struct {
+		late  int
+		yield bool
+	}{"all": {100, true}, "half": {50, true}, "a quarter": {25, false}, "none": {0, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newHolder(0)
+			e.StateLoaded()
+			n := 0
+			after, _ := yieldTime(e, true, time.Minute, func(at time.Duration) time.Duration {
+				took := 200 * time.Millisecond
+				if n++; n*37%100 < c.late {
+					took = elect.ReplyTimeout
+				}
+				e.Replied(start.Add(at), took)
+				return 10 * time.Millisecond
+			})
+			is.Equal(after > 0, c.yield)
+		})
+	}
+}
+
+// TestYieldOrdersClaims guards against a small VM that claims as early as a large one because the
+// owner that yields has renewed its record long before.
+func TestYieldOrdersClaims(t *testing.T) {
+	is := is.New(t)
+	e := newElection()
+	e.Observe(at(0), elect.Observation{Version: 0, Clock: time.Minute})
+	rec, _ := e.NextRecord(at(0))
+	e.WriteSucceeded(at(0), at(0), rec, 7, time.Minute)
+	vacated, _ := e.YieldRecord(at(4000))
+	small := elect.New(elect.Record{Holder: "vm-c/1", VM: "vm-c"}, 4200*time.Millisecond)
+	small.Observe(at(3900), elect.Observation{Record: rec, Version: 7, Clock: time.Minute + 3900*time.Millisecond})
+	for ms := 4000; ms <= 8200; ms += 100 {
+		clock := time.Minute + time.Duration(ms)*time.Millisecond
+		is.Equal(small.Observe(at(ms), elect.Observation{Record: vacated, Version: 8, Clock: clock}), ms == 8200)
+	}
+}
