--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -333,6 +333,7 @@
 	e.setStoreClock(now, storeClock)
 	e.record, e.version, e.readAt, e.changedAt, e.outcomeUnknown = rec, version, now, now, false
 	if rec.Epoch <= e.lostEpoch {
+		// It was sent before the state was lost.
 		return
 	}
 	e.confirm(sentAt)
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -133,9 +133,9 @@
 	// deleted, the oldest end first. The first trimmed ones are no longer in jobs.
 	closed  []closedJob
 	trimmed int
-	// forgotten holds the jobs that have ended and are no longer in jobs, each with the time
-	// when its rows were deleted, zero before. Deleted holds those with a time, the oldest
-	// first.
+	// forgotten holds the jobs that have ended, or could not be read, and are not in jobs,
+	// each with the time when its rows were deleted, zero before. deleted holds those with
+	// a time, the oldest first.
 	forgotten map[core.JobID]time.Time
 	deleted   []deletedJob
 
@@ -321,7 +321,7 @@
 			continue
 		}
 		p := s.parked[spec.ID]
-		// A parked job may have made progress since it was loaded.
+		// A parked or forgotten job may have made progress that a load has missed.
 		if !rowsOfParked && (p != nil || s.readAgain(loadedStub(&spec, &recorded), "was loaded")) {
 			continue
 		}
