An end listed by a lapsed worker holds no recovered task back

What callers would have seen: tasks of earlier owners wait for ever (LOST).

Cause: a worker whose lease may go on has its ends handled in the state lapsed. The end of an unknown job's run blocked the later ones there, which nothing ended while the worker was silent afterwards: it counts as one that may run any task.

TestEndOnLapsedWorkerHoldsNoTask failed before (not started within 20 s).

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -70,6 +70,8 @@
 	w.logAcked(l.Ended)
 	if leaseMayGoOn {
 		w.applyEnds(l.Ended)
+		// Its runs count as over, so that no task waits for what it has not said.
+		w.blockedSince = time.Time{}
 		return
 	}
 	w.fire(workerAnswer)
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -222,3 +222,27 @@
 		})
 	}
 }
+
+// TestEndOnLapsedWorkerHoldsNoTask guards against recovered tasks that wait for ever for a worker
+// that has listed the end of an unknown job's run after its lease counted as expired, and is silent.
+func TestEndOnLapsedWorkerHoldsNoTask(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 3)
+	f.takeOver(f.workers)
+	lapsing := f.workers[1]
+	f.starts(f.workers, f.workers[:2])
+	for answered := false; ; f.advance(100 * time.Millisecond) {
+		waited := f.now.Sub(startTime)
+		is.True(waited < 20*time.Second)
+		if len(f.starts(f.workers, f.workers[:1])) > 0 {
+			is.True(answered)
+			return
+		}
+		f.JobsRead(f.now)
+		if !answered && waited > 6500*time.Millisecond {
+			answered = true
+			f.HeartbeatAnswered(f.now, lapsing.ID(), f.now, fleet.RunLists{Clock: 3 * time.Second, Incarnation: lapsing.Incarnation,
+				Ended: []fleet.EndedRun{{Number: 1, Task: newTaskID("unknown", 0), Run: 1, Kind: fleet.EndDone, Reason: "done"}}})
+		}
+	}
+}
