A yielding owner keeps nothing of its epoch; a fitter VM must reach the owner

- An owner that gives up its record dropped its scheduler and stayed the holder until the store had answered.
TestYieldingOwnerLoadsNothing failed before (2 != 1 lines 'owning the fleet').
- A large VM that is cut off from its peers took the record from a small one that served.
It must have an open stream to the holder, and a configuration (case 'large VM that is cut', before 5600 != -1).
- The claim delay began anew with each gap of 1.5 s between two reads, so a slow reader never claimed: TestSlowReaderClaims failed before (-1 != 3200).
- After a panic the claim of the next epoch waits for 150 ms, as other retries do.

--- a/core/elect/claim.go
+++ b/core/elect/claim.go
@@ -37,9 +37,9 @@
 )
 
 // isFitter reports whether this process should own the fleet rather than the holder of the
-// record.
+// record. One that does not reach the holder may be cut off from the workers, too.
 func (e *Election) isFitter(now time.Time) bool {
-	return e.record.Delay-e.self.Delay >= minAdvantage && e.standBack(now) == 0 && now.Sub(e.holderSeenAt) >= holderTime
+	return e.configured && e.reachedHolder == e.record.Holder && e.record.Delay-e.self.Delay >= minAdvantage && e.standBack(now) == 0 && now.Sub(e.holderSeenAt) >= holderTime
 }
 
 // Claim is a claim of the ownership record.
--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -107,9 +107,10 @@
 	version uint64
 	// changedAt is when the present version was first seen, readAt when the row
 	// was last read, firstReadAt when it was first read, holderSeenAt when it was first
-	// read with its present holder.
-	changedAt, readAt, firstReadAt, holderSeenAt time.Time
-	readFailedAt                                 time.Time
+	// read with its present holder, seenAt when the present version was first read whatever
+	// the gaps between reads since.
+	changedAt, readAt, firstReadAt, holderSeenAt, seenAt time.Time
+	readFailedAt                                         time.Time
 	// storeClock is the store's clock as received at storeClockAt.
 	storeClock   time.Duration
 	storeClockAt time.Time
@@ -127,8 +128,11 @@
 	resumedAt  time.Time
 	// endedHolder names an incarnation that seems to have ended.
 	endedHolder core.SessionID
-	// suspectHolder names an incarnation that does not answer this process.
-	suspectHolder core.SessionID
+	// suspectHolder names an incarnation that does not answer this process, reachedHolder the
+	// one that answers it.
+	suspectHolder, reachedHolder core.SessionID
+	// configured is set once the process has a configuration.
+	configured bool
 	// suspended is set after a suspension, a stall or a contested write, at
 	// suspendedAt, until the record has been confirmed by a call that was sent later.
 	suspended   bool
@@ -249,6 +253,12 @@
 	holdsRecord := rec.Holder == e.self.Holder
 	// The row shows whether a write without an answer has taken effect.
 	e.outcomeUnknown = false
+	if rec.Holder != e.record.Holder || e.holderSeenAt.IsZero() {
+		e.holderSeenAt = now
+	}
+	if version != e.version || e.seenAt.IsZero() {
+		e.seenAt = now
+	}
 	if e.IsHolder() {
 		e.record, e.version, e.readAt = rec, version, now
 		if !holdsRecord {
@@ -264,9 +274,6 @@
 	if version != e.version || e.changedAt.IsZero() || now.Sub(e.readAt) > maxReadGap {
 		e.changedAt = now
 	}
-	if rec.Holder != e.record.Holder || e.holderSeenAt.IsZero() {
-		e.holderSeenAt = now
-	}
 	e.record, e.version, e.readAt = rec, version, now
 	if holdsRecord && version > 0 && rec.Epoch > e.lostEpoch {
 		// A claim without an answer has taken effect.
@@ -280,7 +287,7 @@
 	delay, reason := e.claimDelay+e.standBack(now), ClaimExpired
 	wait := delay
 	// Processes that find an old record at the same time claim in the order of their delays.
-	delayedFrom := e.changedAt
+	delayedFrom := e.seenAt
 	switch {
 	case holdsRecord:
 		wait, reason, delayedFrom = e.standBack(now), ClaimStateLost, time.Time{}
@@ -319,7 +326,15 @@
 
 // MarkSuspect records that an incarnation does not answer this process. An empty
 // name means that the owner answers.
-func (e *Election) MarkSuspect(holder core.SessionID) { e.suspectHolder = holder }
+func (e *Election) MarkSuspect(holder core.SessionID) {
+	e.suspectHolder, e.reachedHolder = holder, ""
+	if holder == "" {
+		e.reachedHolder = e.record.Holder
+	}
+}
+
+// Configured records that the process has a configuration.
+func (e *Election) Configured() { e.configured = true }
 
 // HolderSuspect reports whether the holder seems to have ended or does not answer.
 func (e *Election) HolderSuspect() bool {
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -402,9 +402,11 @@
 func TestFitterVMTakesOver(t *testing.T) {
 	for name, c := range map[string]struct {
 		owner, own time.Duration
+		unreached  bool
 		want       int
 	}{
 		"large VM, small owner":  {owner: 4200 * time.Millisecond, own: 300 * time.Millisecond, want: 5600},
+		"large VM that is cut":   {owner: 4200 * time.Millisecond, own: 300 * time.Millisecond, unreached: true, want: -1},
 		"small VM, small owner":  {owner: 4200 * time.Millisecond, own: 4200 * time.Millisecond, want: -1},
 		"small VM, large owner":  {owner: 300 * time.Millisecond, own: 4200 * time.Millisecond, want: -1},
 		"owner of unknown delay": {own: 300 * time.Millisecond, want: -1},
@@ -412,6 +414,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			e := elect.New(elect.Record{Holder: "vm-a/1", VM: "vm-a", Delay: c.own}, c.own)
+			e.Configured()
 			claimed := -1
 			for ms := 0; claimed < 0 && ms <= 20_000; ms += 700 {
 				rec := otherRecord(1)
@@ -421,8 +424,27 @@
 					is.Equal(e.Claim().Reason, elect.ClaimFitter)
 					is.Equal(e.ReplacedAt(), at(ms))
 				}
+				if !c.unreached {
+					e.MarkSuspect("")
+				}
 			}
 			is.Equal(claimed, c.want)
 		})
 	}
 }
+
+// TestSlowReaderClaims guards against a record that a process never claims, since the gaps between
+// its reads are long.
+func TestSlowReaderClaims(t *testing.T) {
+	is := is.New(t)
+	e := elect.New(elect.Record{Holder: "vm-a/1", VM: "vm-a"}, 400*time.Millisecond)
+	rec := otherRecord(1)
+	rec.Stamp = time.Minute
+	claimed := -1
+	for ms := 0; claimed < 0 && ms <= 60_000; ms += 1600 {
+		if e.Observe(at(ms), elect.Observation{Record: rec, Version: 5, Clock: rec.Stamp + time.Duration(ms)*time.Millisecond}) {
+			claimed = ms
+		}
+	}
+	is.Equal(claimed, 3200)
+}
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -315,7 +315,6 @@
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.snapshotLoadInFlight = false
-			givenUp := abandoned.Err() != nil
 			abandon()
 			if !o.election.IsHolder() {
 				return
@@ -324,10 +323,6 @@
 				o.loadSnapshot()
 				return
 			}
-			if err != nil && givenUp {
-				// If the process keeps the record, it loads again.
-				return
-			}
 			if err != nil {
 				o.log.WithError(err).Warn("cannot load the snapshot")
 				o.retryLoad()
@@ -378,8 +373,9 @@
 		o.unappliedSnapshot = &loaded
 		return
 	}
-	beside := o.scheduler != nil
+	beside := o.scheduler != nil && o.scheduler.Epoch() == epoch
 	if !beside {
+		o.discardScheduler("its epoch has ended")
 		opts := []fleet.Option{fleet.WithReplacedAt(o.election.ReplacedAt())}
 		if len(snapshot.RosterErrors) > 0 {
 			opts = append(opts, fleet.WithUnknownRoster())
@@ -416,11 +412,6 @@
 // resign releases the ownership record if this process holds it, stores the last
 // progress and closes drained.
 func (o *Owner) resign() {
-	if !o.election.IsHolder() {
-		o.election.Drain()
-		close(o.drained)
-		return
-	}
 	if o.recordWriteInFlight {
 		// The next write needs the version that results from the one in flight.
 		o.async(func(ctx context.Context) func(*Owner, time.Time) {
@@ -429,6 +420,11 @@
 		})
 		return
 	}
+	if !o.election.IsHolder() {
+		o.election.Drain()
+		close(o.drained)
+		return
+	}
 	vacated, version := o.election.ResignRecord()
 	write := record.OwnerWrite{Record: vacated, Version: version}
 	if o.scheduler != nil {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -266,6 +266,7 @@
 	switch {
 	case o.scheduler != nil:
 		o.stepDown(now, "a panic")
+		o.nextRecordRead = now.Add(retryInterval)
 	case o.election.IsHolder():
 		// Nothing has been decided under this epoch.
 		o.retryLoad()
@@ -455,6 +456,7 @@
 func (o *Owner) SetPolicy(p *policy.Policy) {
 	o.post(func(o *Owner, now time.Time) {
 		o.policy = p
+		o.election.Configured()
 		if loaded := o.unappliedSnapshot; loaded != nil {
 			o.handleSnapshot(now, *loaded)
 		}
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -33,6 +33,7 @@
 	log.Warn("giving up ownership")
 	o.meter.Yield(reason)
 	o.recordWriteInFlight = true
+	o.election.StateLost()
 	o.discardScheduler(string(reason))
 	o.abandonLoad()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
@@ -59,5 +60,4 @@
 	if !record.Refused(err) {
 		o.election.WriteContested(now)
 	}
-	o.election.StateLost()
 }
--- a/io/owner/service_test.go
+++ b/io/owner/service_test.go
@@ -14,6 +14,7 @@
 	"chicoryturn/core/policy"
 	"chicoryturn/io/owner"
 	"chicoryturn/io/record"
+	"chicoryturn/io/table"
 )
 
 // endlessLoad is a process's view of a shared row whose loads never end.
@@ -146,3 +147,54 @@
 		is.Equal(r.current().Holder, core.SessionID("sound"))
 	})
 }
+
+// lateYields is a store that answers no write of an owner that yields, and the load that holdLoads
+// holds only when it is given up.
+type lateYields struct {
+	*lossyDeps
+	yielding chan struct{}
+}
+
+func (l *lateYields) Load(ctx context.Context, b *budget.Budget) (*record.Snapshot, error) {
+	l.mu.Lock()
+	hold := l.holdLoads != nil
+	if hold {
+		l.held++
+		l.holdLoads = nil
+	}
+	l.mu.Unlock()
+	if hold {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return l.lossyDeps.Load(ctx, b)
+}
+
+func (l *lateYields) Write(ctx context.Context, w record.OwnerWrite) (table.WriteResult, error) {
+	if w.Record.Holder != "" {
+		return l.lossyDeps.Write(ctx, w)
+	}
+	close(l.yielding)
+	time.Sleep(3 * time.Second)
+	return table.WriteResult{}, &table.UnansweredError{}
+}
+
+// TestYieldingOwnerLoadsNothing guards against an owner that gives up its record and makes a new
+// scheduler in the same epoch before the store has answered.
+func TestYieldingOwnerLoadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		finishBubble(t)
+		l := &lateYields{newLossyDeps(), make(chan struct{})}
+		o := startOwner(t, l, "a", policy.New(1, nil, nil, nil, 0), withHook(l.hook))
+		l.untilLogged(t, "owning the fleet", 1)
+		l.do(func() { l.compacted, l.holdLoads = true, make(chan struct{}) })
+		l.until(t, "a load beside the scheduler", func() bool { return l.held == 1 })
+		stop := keepBusy(t, o)
+		defer stop()
+		<-l.yielding
+		stop()
+		time.Sleep(2500 * time.Millisecond)
+		is.Equal(len(l.hook.withMessage("owning the fleet")), 1)
+	})
+}
