An owner answers the questions of a VM side by side

Callers were told for tens of seconds that no owner answers, while the owner held its streams open, renewed its record and had room in its mailbox.

Cause: the goroutine that receives a VM's messages answered each question before it received the next message. With 0.2 s for an answer a VM has five answers a second; if it asks more often, its questions wait for each other, those that nobody awaits any more first, and none is answered within 0.6 s. Reports of jobs and advice waited behind them.

TestQuestionsDoNotQueue failed before ("context deadline exceeded": 20 questions at once, 0.25 s each).

Each question is answered on a goroutine of its own, at most 64 at a time for one VM, and is given up after the time that the VM waits.

--- a/io/link/answers_test.go
+++ b/io/link/answers_test.go
@@ -79,3 +79,42 @@
 	is.Equal(count("the owner does not answer"), 1)
 	is.Equal(count("the owner answers again"), 1)
 }
+
+// slowOwner is an owner that needs 250 ms for each answer.
+type slowOwner struct{ fakeOwner }
+
+func (*slowOwner) Pending(context.Context, core.Queue) (int, bool, error) {
+	time.Sleep(250 * time.Millisecond)
+	return 0, true, nil
+}
+
+// TestQuestionsDoNotQueue guards against questions that wait for the answers to earlier ones on
+// their stream: a VM that asks more often than its owner answers had none in time, ever.
+func TestQuestionsDoNotQueue(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := &slowOwner{}
+	srv := link.NewServer(o, "owner/1", (&fakeTable{}).handle, discardLog())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Stop()
+	c := link.NewClient("vm-1", "z", &o.fakeOwner, &o.fakeOwner, (&fakeTable{}).handle, discardLog())
+	go func() { _ = c.Run(ctx) }()
+	c.SetOwner(link.OwnerAddr{Addr: netip.MustParseAddrPort(l.Addr().String()), Session: "owner/1"})
+	for !c.Connected() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	const questions = 20
+	failed := make(chan error, questions)
+	for range questions {
+		go func() {
+			_, _, err := c.Pending(ctx, "q")
+			failed <- err
+		}()
+	}
+	for range questions {
+		is.NoErr(<-failed)
+	}
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -26,6 +26,9 @@
 	keepAliveTimeout  = time.Second
 	// sendQueueLen bounds the messages queued for one stream.
 	sendQueueLen = 512
+	// maxAnswers bounds the questions of one VM that the owner answers at a time. A question
+	// beyond them has no reply.
+	maxAnswers = 64
 	// maxForwardAttempts bounds the VMs to which one call is forwarded in turn.
 	// forwardBackoff is how long a VM is not chosen after a call has failed
 	// there.
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"chicoryturn/core"
+	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/io/advice"
@@ -155,6 +156,8 @@
 	forwarder *forwarder
 	// avoidUntil is the end of the back-off after a failed call.
 	avoidUntil time.Time
+	// answering holds a token for each question that is being answered.
+	answering chan struct{}
 }
 
 // Name implements owner.Peer.
@@ -196,7 +199,7 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	p := &peer{name: first.GetHello().GetVm(), outgoing: make(chan *wire.Down, sendQueueLen), cancel: cancel, forwarder: newForwarder(s.handler)}
+	p := &peer{name: first.GetHello().GetVm(), outgoing: make(chan *wire.Down, sendQueueLen), cancel: cancel, forwarder: newForwarder(s.handler), answering: make(chan struct{}, maxAnswers)}
 	if err := stream.Send(&wire.Down{Kind: &wire.Down_Session{Session: string(s.session)}}); err != nil {
 		return err
 	}
@@ -268,11 +271,31 @@
 	case *wire.Up_Call:
 		return p.forwarder.handleCall(ctx, k.Call, func(r *wire.Carried) { p.send(&wire.Down{Kind: &wire.Down_Carried{Carried: r}}) })
 	case *wire.Up_Question:
-		return s.answer(ctx, p, k.Question)
+		s.startAnswer(ctx, p, k.Question)
 	}
 	return nil
 }
 
+// startAnswer answers a question on its own goroutine, so that later messages of the VM do not wait
+// for the control goroutine.
+func (s *server) startAnswer(ctx context.Context, p *peer, q *wire.Question) {
+	select {
+	case p.answering <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-p.answering }()
+		ctx, cancel := context.WithTimeout(ctx, elect.ReplyTimeout)
+		defer cancel()
+		err := guard.Do(func() error { return s.answer(ctx, p, q) })
+		// Without an answer in time nobody waits for one; the VM logs it.
+		if err != nil && ctx.Err() == nil {
+			s.log.WithError(err).WithField("vm", p.name).Error("question not answered")
+		}
+	}()
+}
+
 // answer replies to a VM's question about a job or a queue.
 func (s *server) answer(ctx context.Context, p *peer, q *wire.Question) error {
 	r := &wire.Reply{Number: q.Number}
