An owner that replies too late gives up its record

An owner on a VM with 0.192 of a core answered hardly any VM in time while the messages of its control goroutine waited for less than 0.6 s, so that it didn't count as late.

Cause: a question passes through several goroutines of the process, each of which waits for the core. Only the wait for the control goroutine was measured.

TestLateRepliesYield ("false != true") and TestOwnerWithLateRepliesIsReplaced ("late != sound") failed before.

The server tells how long each question took until its reply; what counts is the time in which only late replies were given, beside that of the messages.

--- a/core/elect/service.go
+++ b/core/elect/service.go
@@ -49,26 +49,51 @@
 	// goodSince is since when the owner has served; zero if it does not.
 	goodSince time.Time
 	settled   bool
-	// late is for how long replies have been late, less a part of the time since in which they
-	// were not, from 0 to lateLimit; handledAt is when the last message was handled.
-	late      time.Duration
-	handledAt time.Time
+	// messages is the lateness of the messages that wait for the control state, replies that of
+	// the replies to other processes, which wait for more than that.
+	messages, replies lateness
+}
+
+// lateness tells how late what an owner does has been.
+type lateness struct {
+	// sum is for how long it has been late, less a part of the time since in which it was not,
+	// from 0 to lateLimit.
+	sum time.Duration
+	// at is when the owner last did something.
+	at time.Time
+}
+
+// add records that something is done now, which has been late for a time.
+func (l *lateness) add(now time.Time, late time.Duration) {
+	if !l.at.IsZero() {
+		elapsed := now.Sub(l.at)
+		late = min(max(late, 0), elapsed)
+		// After a longer stall other processes may claim the record in any case.
+		l.sum += min(late, TTL) - (elapsed-late)/lateShare
+		l.sum = min(max(l.sum, 0), lateLimit)
+	}
+	l.at = now
 }
 
 // MessageHandled records that a process handles a message that has waited for a time.
 func (e *Election) MessageHandled(now time.Time, waited time.Duration) {
+	if e.IsHolder() {
+		e.service.messages.add(now, waited-ReplyTimeout)
+	}
+}
+
+// Replied records that a process has replied to another one, or has given up the reply, a time after
+// it received the question.
+func (e *Election) Replied(now time.Time, took time.Duration) {
 	if !e.IsHolder() {
 		return
 	}
-	s := &e.service
-	if !s.handledAt.IsZero() {
-		elapsed := now.Sub(s.handledAt)
-		late := min(max(waited-ReplyTimeout, 0), elapsed)
-		// After a longer stall other processes may claim the record in any case.
-		s.late += min(late, TTL) - (elapsed-late)/lateShare
-		s.late = min(max(s.late, 0), lateLimit)
+	late := time.Duration(0)
+	if took >= ReplyTimeout {
+		// No other reply has been in time since the last one.
+		late = now.Sub(e.service.replies.at)
 	}
-	s.handledAt = now
+	e.service.replies.add(now, late)
 }
 
 // CheckService reports whether the owner must give up the record because it does not serve,
@@ -85,13 +110,14 @@
 	switch {
 	case ready && s.readySince.IsZero():
 		// What was late beside a load tells nothing of the time after it.
-		s.readySince, s.unreadySince, s.late = now, time.Time{}, 0
+		s.readySince, s.unreadySince, s.messages, s.replies = now, time.Time{}, lateness{}, lateness{}
 	case !ready && (s.unreadySince.IsZero() || now.Sub(e.renewedAt) > TTL):
 		// While the store does not take the record, no process can load.
 		s.readySince, s.unreadySince = time.Time{}, now
 	}
+	late := max(s.messages.sum, s.replies.sum)
 	switch {
-	case !ready || s.late > lateLimit/2:
+	case !ready || late > lateLimit/2:
 		s.goodSince = time.Time{}
 	case s.goodSince.IsZero():
 		s.goodSince = now
@@ -100,7 +126,7 @@
 	switch {
 	case !ready:
 		return YieldUnready, now.Sub(s.unreadySince) >= e.patience()
-	case s.late == lateLimit && e.record.Yields < maxLateYields:
+	case late == lateLimit && e.record.Yields < maxLateYields:
 		return YieldLate, now.Sub(s.readySince) >= e.patience()
 	}
 	return "", false
--- a/core/elect/service_test.go
+++ b/core/elect/service_test.go
@@ -161,3 +161,28 @@
 	_, yield = e.CheckService(at(80_000), true)
 	is.True(!yield)
 }
+
+// TestLateRepliesYield guards against an owner whose control state is in time while its replies
+// reach nobody. Cases: which of a hundred replies are late, and whether it yields within a minute.
+func TestLateRepliesYield(t *testing.T) {
+	for name, c := range map[string]struct {
+		late  int
+		yield bool
+	}{"all": {100, true}, "half": {50, true}, "a quarter": {25, false}, "none": {0, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newHolder(0)
+			e.StateLoaded()
+			n := 0
+			after, _ := yieldTime(e, true, time.Minute, func(at time.Duration) time.Duration {
+				took := 200 * time.Millisecond
+				if n++; n*37%100 < c.late {
+					took = elect.ReplyTimeout
+				}
+				e.Replied(start.Add(at), took)
+				return 10 * time.Millisecond
+			})
+			is.Equal(after > 0, c.yield)
+		})
+	}
+}
--- a/io/link/answers_test.go
+++ b/io/link/answers_test.go
@@ -80,8 +80,17 @@
 	is.Equal(count("the owner answers again"), 1)
 }
 
-// slowOwner is an owner that needs 250 ms for each answer.
-type slowOwner struct{ fakeOwner }
+// slowOwner is an owner that needs 250 ms for each answer. It counts the replies that took so long.
+type slowOwner struct {
+	fakeOwner
+	slow atomic.Int64
+}
+
+func (o *slowOwner) Replied(took time.Duration) {
+	if took >= 250*time.Millisecond {
+		o.slow.Add(1)
+	}
+}
 
 func (*slowOwner) Pending(context.Context, core.Queue) (int, bool, error) {
 	time.Sleep(250 * time.Millisecond)
@@ -117,4 +126,8 @@
 	for range questions {
 		is.NoErr(<-failed)
 	}
+	for end := time.Now().Add(time.Second); o.slow.Load() < questions && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(o.slow.Load(), int64(questions))
 }
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -40,6 +40,7 @@
 	return "", false, true, nil
 }
 func (*fakeOwner) Pending(context.Context, core.Queue) (int, bool, error) { return 0, true, nil }
+func (*fakeOwner) Replied(time.Duration)                                  {}
 
 // fakeTable answers every forwarded call with the same outcome.
 type fakeTable struct {
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -30,6 +30,9 @@
 	AdviceReceived(vm string, r advice.Result)
 	State(ctx context.Context, id core.JobID) (state jobs.State, known, isOwner bool, err error)
 	Pending(ctx context.Context, q core.Queue) (n int, isOwner bool, err error)
+	// Replied is called with how long each question has taken until its reply, or until it was
+	// given up.
+	Replied(took time.Duration)
 }
 
 // server implements wire.LinkServer.
@@ -284,8 +287,12 @@
 	default:
 		return
 	}
+	askedAt := time.Now()
 	go func() {
-		defer func() { <-p.answering }()
+		defer func() {
+			s.owner.Replied(time.Since(askedAt))
+			<-p.answering
+		}()
 		ctx, cancel := context.WithTimeout(ctx, elect.ReplyTimeout)
 		defer cancel()
 		err := guard.Do(func() error { return s.answer(ctx, p, q) })
--- a/io/owner/requests.go
+++ b/io/owner/requests.go
@@ -71,3 +71,9 @@
 		}
 	})
 }
+
+// Replied records that a question of another VM was answered, or given up, a time after it had been
+// received.
+func (o *Owner) Replied(took time.Duration) {
+	o.post(func(o *Owner, now time.Time) { o.election.Replied(now, took) })
+}
--- a/io/owner/service_test.go
+++ b/io/owner/service_test.go
@@ -127,3 +127,22 @@
 	}()
 	return cancel
 }
+
+// TestOwnerWithLateRepliesIsReplaced guards against an owner whose control goroutine is in time while
+// its process answers no VM in time.
+func TestOwnerWithLateRepliesIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		finishBubble(t)
+		r := &sharedRow{}
+		p := policy.New(1, nil, nil, nil, 0)
+		late := startOwner(t, &quickLoad{viewOf(r, 2*time.Millisecond)}, "late", p)
+		time.Sleep(3 * time.Second)
+		startOwner(t, &quickLoad{viewOf(r, 25*time.Millisecond)}, "sound", p)
+		for range 600 {
+			late.Replied(elect.ReplyTimeout)
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(r.current().Holder, core.SessionID("sound"))
+	})
+}
