Claim delays count from when an owner yields

In a trial all small VMs claimed 0.65 s after an owner had yielded, as early as a large one does: the vacated record had the stamp of the owner's last renewal, 3.6 s before. A large VM that reads the record a moment later would have lost to them.

The vacated record is stamped when it is written. TestYieldOrdersClaims failed before ("true != false").

--- a/core/elect/service.go
+++ b/core/elect/service.go
@@ -150,6 +150,8 @@
 	e.yieldedAt = now
 	rec, version := e.ResignRecord()
 	rec.Yields++
+	// The others wait for their claim delays from now on, not from the last renewal.
+	rec.Stamp = e.estimateStoreClock(now)
 	return rec, version
 }
 
--- a/core/elect/service_test.go
+++ b/core/elect/service_test.go
@@ -186,3 +186,20 @@
 		})
 	}
 }
+
+// TestYieldOrdersClaims guards against a small VM that claims as early as a large one because the
+// owner that yields has renewed its record long before.
+func TestYieldOrdersClaims(t *testing.T) {
+	is := is.New(t)
+	e := newElection()
+	e.Observe(at(0), elect.Observation{Version: 0, Clock: time.Minute})
+	rec, _ := e.NextRecord(at(0))
+	e.WriteSucceeded(at(0), at(0), rec, 7, time.Minute)
+	vacated, _ := e.YieldRecord(at(4000))
+	small := elect.New(elect.Record{Holder: "vm-c/1", VM: "vm-c"}, 4200*time.Millisecond)
+	small.Observe(at(3900), elect.Observation{Record: rec, Version: 7, Clock: time.Minute + 3900*time.Millisecond})
+	for ms := 4000; ms <= 8200; ms += 100 {
+		clock := time.Minute + time.Duration(ms)*time.Millisecond
+		is.Equal(small.Observe(at(ms), elect.Observation{Record: vacated, Version: 8, Clock: clock}), ms == 8200)
+	}
+}
