--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -302,6 +302,7 @@
 		took := time.Since(began)
 		return func(o *Owner, now time.Time) {
 			o.snapshotLoadInFlight = false
+			givenUp := abandoned.Err() != nil
 			abandon()
 			if !o.election.IsHolder() {
 				return
@@ -310,6 +311,10 @@
 				o.loadSnapshot()
 				return
 			}
+			if err != nil && givenUp {
+				// If the process keeps the record, it loads again.
+				return
+			}
 			if err != nil {
 				o.log.WithError(err).Warn("cannot load the snapshot")
 				o.retryLoad()
