An owner reads late answers to heartbeats

Cause: the owner gave an answer up 0.35 s or 1.1 s after it had asked, and closed the connection with it. An owner short of processor time or behind a full link of 10 Mbit/s needs longer to read answers. It lost what its workers listed in each of them, took them for silent, extended no lease, and started their tasks again after 6.2 s. What a worker has listed counts as taken note of 0.1 s later where nothing disturbs it, so that the lease, which ends afterwards, is no excuse.

Change: a heartbeat counts as failed after the same times as before, but its answer is read for 5 s more than it may wait, and handled unless a later one has been. One such heartbeat a worker is kept.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -36,15 +36,19 @@
 	maxJobWait = 5 * time.Second
 )
 
-// HeartbeatAnswered handles a worker's answer to the heartbeat sent at sentAt.
+// HeartbeatAnswered handles a worker's answer to the heartbeat sent at sentAt, which may have
+// counted as failed meanwhile. It ignores an answer that a later one has overtaken.
 func (s *Scheduler) HeartbeatAnswered(now time.Time, id core.WorkerID, sentAt time.Time, l RunLists) {
 	s.now = now
 	w := s.workers[id]
-	if w == nil {
+	if w == nil || sentAt.Before(w.contactAt) {
 		return
 	}
 	w.logReached()
-	w.heartbeatInFlight = false
+	if !w.heartbeatInFlight || !sentAt.Before(w.heartbeatSentAt) {
+		w.heartbeatInFlight = false
+		w.logAcked(l.Ended)
+	}
 	if !l.Incarnation.Equal(w.info.Incarnation) {
 		w.noteEnded()
 	}
@@ -67,7 +71,6 @@
 		w.clock, w.answeredAt = l.Clock, now
 	}
 	w.endAccount()
-	w.logAcked(l.Ended)
 	if leaseMayGoOn {
 		w.applyEnds(l.Ended)
 		// Its runs count as over, so that no task waits for what it has not said.
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -10,6 +10,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/fleet"
+	"chicoryturn/core/jobs"
 )
 
 // TestNewIncarnation checks that an owner uses a restarted worker only once its new
@@ -246,3 +247,32 @@
 		}
 	}
 }
+
+// TestLateAnswerCounts guards against a task that starts again although its worker has listed its
+// end: the owner has read that answer late, after it had counted the heartbeat as failed.
+func TestLateAnswerCounts(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 2)
+	first := f.startTask()
+	w := first.Info
+	f.nextOrders(fleet.OrderHeartbeat)
+	sent := f.now
+	f.advance(time.Second)
+	f.HeartbeatFailed(f.now, w.ID())
+	f.advance(500 * time.Millisecond)
+	isToWorker := func(o fleet.Order) bool { return o.Worker == w.ID() }
+	is.True(slices.ContainsFunc(f.nextOrders(fleet.OrderHeartbeat), isToWorker))
+	lists := fleet.RunLists{Clock: sent.Sub(startTime) + time.Second, Incarnation: w.Incarnation, Ended: doneEnd(1, first)}
+	f.HeartbeatAnswered(f.now, w.ID(), sent, lists)
+	state, _ := f.State("j")
+	is.Equal(state, jobs.Running) // until it is stored
+	f.store()
+	state, _ = f.State("j")
+	is.Equal(state, jobs.Completed)
+	is.True(!slices.ContainsFunc(f.nextOrders(fleet.OrderHeartbeat), isToWorker)) // one is in flight
+
+	f.heartbeat(w, nil, nil)
+	running := fleet.RunLists{Clock: lists.Clock, Incarnation: w.Incarnation, Active: []fleet.ActiveRun{{Task: first.Task, Run: first.Run}}}
+	f.HeartbeatAnswered(f.now, w.ID(), sent, running) // overtaken
+	is.Equal(len(f.nextOrders(fleet.OrderStop)), 0)
+}
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -47,10 +47,17 @@
 		o.async(func(ctx context.Context) func(*Owner, time.Time) {
 			begins := clock.BootTime()
 			out := outcome{sentAt: time.Now(), delay: begins - decided, reply: fleet.ReplyNotSent}
-			if begins-dispatched <= maxOrderAge {
-				o.send(ctx, ord, p, &out)
+			if begins-dispatched > maxOrderAge {
+				return replyHandler(ord, p, nil, out)
 			}
-			return replyHandler(ord, p, out)
+			var call *heartbeatCall
+			if ord.Kind == fleet.OrderHeartbeat {
+				var stop func()
+				ctx, call, stop = o.watchHeartbeat(ctx, ord)
+				defer stop()
+			}
+			o.send(ctx, ord, p, &out)
+			return replyHandler(ord, p, call, out)
 		})
 	}
 }
@@ -89,9 +96,11 @@
 var callNames = map[fleet.OrderKind]string{fleet.OrderStart: "start", fleet.OrderStop: "stop", fleet.OrderHeartbeat: "hold"}
 
 // replyHandler returns the function that applies the outcome of an order to the
-// scheduler. It discards outcomes of orders from another epoch. P is the permit of a start.
-func replyHandler(ord fleet.Order, p *permit, out outcome) func(*Owner, time.Time) {
+// scheduler. It discards outcomes of orders from another epoch. P is the permit of a start,
+// call a heartbeat that was sent.
+func replyHandler(ord fleet.Order, p *permit, call *heartbeatCall, out outcome) func(*Owner, time.Time) {
 	return func(o *Owner, now time.Time) {
+		overdue := call != nil && o.heartbeatEnded(call)
 		if p != nil && o.permits[ord.Task] == p {
 			delete(o.permits, ord.Task)
 		}
@@ -114,7 +123,7 @@
 		case out.reply == fleet.ReplyOK:
 			o.scheduler.HeartbeatAnswered(now, ord.Worker, out.sentAt, out.lists)
 			o.stageRoster()
-		default:
+		case !overdue:
 			o.scheduler.HeartbeatFailed(now, ord.Worker)
 		}
 		if o.scheduler.UnknownJobSeen() {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -119,7 +119,10 @@
 	yieldedToEpoch core.Epoch
 	// permits holds the permits of the starts that have not been answered.
 	permits map[jobs.TaskID]*permit
-	peers   *peers
+	// late holds, for each worker, the first heartbeat that counts as failed and may still be
+	// answered.
+	late  map[core.WorkerID]*heartbeatCall
+	peers *peers
 	// onOwner is called when the owner of the fleet changes and when this process
 	// starts to schedule.
 	onOwner func(rec elect.Record, isOwner bool)
@@ -203,7 +206,7 @@
 func New(l *loop.Loop, deps Deps, self elect.Record, claimDelay time.Duration, limits fleet.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
-		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), permits: map[jobs.TaskID]*permit{}, changesInterval: maxChangesInterval,
+		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), permits: map[jobs.TaskID]*permit{}, late: map[core.WorkerID]*heartbeatCall{}, changesInterval: maxChangesInterval,
 		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {}, abandonLoad: func() {},
 		drained: make(chan struct{}),
 	}
