--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -363,9 +363,8 @@
 	}
 }
 
-// TestLostState checks an owner that has lost the decisions it made in its epoch, and goes on
-// under the next one. It must assume that any task may have been started until all workers
-// have answered.
+// TestLostState checks an owner that has lost its decisions and goes on under the next epoch. It
+// must assume that any task may have been started until all workers have answered.
 func TestLostState(t *testing.T) {
 	for _, epoch := range []core.Epoch{1, 2} {
 		is := is.New(t)
