--- a/core/elect/service.go
+++ b/core/elect/service.go
@@ -20,11 +20,11 @@
 const (
 	// ReplyTimeout is how long other processes wait for the owner's reply to a question.
 	ReplyTimeout = 600 * time.Millisecond
-	// minPatience is how long an owner may be without a schedule, and how long it keeps the
+	// minTenure is how long an owner may be without a schedule, and how long it keeps the
 	// record with one, before it yields. Each owner in a row that has yielded doubles it, up to
-	// maxPatience, since the others may be no fitter.
-	minPatience = 20 * time.Second
-	maxPatience = 160 * time.Second
+	// maxTenure, since the others may be no fitter.
+	minTenure = 20 * time.Second
+	maxTenure = 160 * time.Second
 	// An owner yields when its replies have been late for lateLimit more than the part
 	// 1/lateShare of the time in which they were not.
 	lateLimit = 6 * time.Second
@@ -126,19 +126,19 @@
 	s.settled = !s.goodSince.IsZero() && now.Sub(s.goodSince) >= settledAfter
 	switch {
 	case !ready:
-		return YieldUnready, now.Sub(s.unreadySince) >= e.patience()
+		return YieldUnready, now.Sub(s.unreadySince) >= e.tenure()
 	case late == lateLimit && e.record.Yields < maxLateYields:
-		return YieldLate, now.Sub(s.readySince) >= e.patience()
+		return YieldLate, now.Sub(s.readySince) >= e.tenure()
 	}
 	return "", false
 }
 
-// patience returns for how long this owner does not yield.
-func (e *Election) patience() time.Duration {
-	p := minPatience
+// tenure returns for how long this owner does not yield.
+func (e *Election) tenure() time.Duration {
+	p := minTenure
 	for range e.record.Yields {
-		if p *= 2; p >= maxPatience {
-			return maxPatience
+		if p *= 2; p >= maxTenure {
+			return maxTenure
 		}
 	}
 	return p
