--- a/review/_standin2/log.go
+++ b/review/_standin2/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"sync"
@@ -77,9 +78,9 @@
 	return out
 }
 
-// twice returns the tasks that were started after one of their runs had ended done, where that
-// end was taken note of then or later and no lease of its minion lapsed in between, and those
-// of which two runs were active at the same time.
+// twice returns the starts of tasks after one of their runs had ended done, where that end was
+// taken note of then or later and no lease of its minion lapsed in between, and those while
+// another run of the task was active.
 func (r *record) twice() (afterDone, atOnce []event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -114,17 +115,37 @@
 				active[k] = true
 			}
 		}
+		// first is when the first run ended done whose end was taken note of.
+		first := time.Duration(math.MaxInt64)
 		for k, done := range doneAt {
 			noted, ok := notedAt[k]
 			for _, l := range lapses[k.minion] {
 				ok = ok && !(l > done && l < noted)
 			}
-			for _, e := range events {
-				if ok && e.kind == "start" && e.at > done {
-					afterDone = append(afterDone, e)
-				}
+			if ok {
+				first = min(first, done)
+			}
+		}
+		for _, e := range events {
+			if e.kind == "start" && e.at > first {
+				afterDone = append(afterDone, e)
 			}
 		}
 	}
 	return afterDone, atOnce
 }
+
+// lastEnd returns when the last run ended.
+func (r *record) lastEnd() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := time.Duration(0)
+	for _, events := range r.byTask {
+		for _, e := range events {
+			if e.kind == "end" {
+				last = max(last, e.at)
+			}
+		}
+	}
+	return last
+}
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -22,7 +22,9 @@
 
 // cases are the cases by name. Each returns its exit status and what it saw.
 var cases = map[string]func(w *world, trouble bool) (int, string){
-	"ends": playEnds,
+	"ends":   playEnds,
+	"cancel": playCancel,
+	"rows":   playRows,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_standin2/minion.go
+++ b/review/_standin2/minion.go
@@ -43,13 +43,14 @@
 	how  string
 }
 
-// minion is a stand-in of one worker. Work decides how long a run takes and whether it
-// fails.
+// minion is a stand-in of one worker.
 type minion struct {
 	id, addr, zone, rack string
-	room                 capacity
-	world                *world
-	work                 func(m *minion, task string, run uint64) (lasts time.Duration, fails bool)
+	// listen is where the minion listens, if that is behind a proxy at addr.
+	listen string
+	room   capacity
+	world  *world
+	work   workFunc
 
 	mu     sync.Mutex
 	born   time.Time
@@ -77,7 +78,11 @@
 	mux.HandleFunc("POST /api/run-stop", m.guard(m.serveStop))
 	mux.HandleFunc("POST /api/hold", m.guard(m.serveHold))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", m.id) })
-	if _, err := serveHTTP(m.addr, mux); err != nil {
+	listen := m.listen
+	if listen == "" {
+		listen = m.addr
+	}
+	if _, err := serveHTTP(listen, mux); err != nil {
 		return err
 	}
 	go func() {
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -40,7 +39,7 @@
 	name, ip, zone string
 	world          *world
 	door           *door
-	link           *proxy
+	store          string
 	cmd            *exec.Cmd
 	exited         chan struct{}
 }
@@ -130,11 +129,21 @@
 
 var zones = []string{"za", "zb", "zc"}
 
-// addMinions starts minions, in turn in the three zones.
-func (w *world) addMinions(n int, room capacity, work func(*minion, string, uint64) (time.Duration, bool)) error {
+// workFunc decides how long a run takes and whether it fails.
+type workFunc func(m *minion, task string, run uint64) (lasts time.Duration, fails bool)
+
+// addMinions starts minions, in turn in the three zones. Delay is that of the link to a minion,
+// one way; without it there is none.
+func (w *world) addMinions(n int, room capacity, work workFunc, delay ...func(*minion) time.Duration) error {
 	for i := range n {
 		m := newMinion(w, fmt.Sprintf("i-%04x", i+1), fmt.Sprintf("127.0.72.%d:%d", i+1, w.ports+20), zones[i%3], fmt.Sprintf("r%d-1", i%3), room)
 		m.work = work
+		for _, f := range delay {
+			m.listen = fmt.Sprintf("127.0.72.%d:%d", i+1, w.ports+21)
+			if _, err := newProxy(m.addr, m.listen, f(m)); err != nil {
+				return err
+			}
+		}
 		if err := m.start(); err != nil {
 			return err
 		}
@@ -152,9 +161,7 @@
 		if err != nil {
 			return err
 		}
-		if nd.link, err = newProxy(l.Addr().String()); err != nil {
-			return err
-		}
+		nd.store = l.Addr().String()
 		w.nodes = append(w.nodes, nd)
 		if err := nd.writeSettings(true); err != nil {
 			return err
@@ -266,7 +273,7 @@
 BlobBytes = 8388608
 BlobMs = 25.0
 BlobPerS = 80.0
-`, graceS, n.link.addr())
+`, graceS, n.store)
 	return os.WriteFile(n.settingsPath(), []byte(text), 0o600)
 }
 
@@ -412,90 +419,3 @@
 	}
 	return false
 }
-
-// proxy passes connections on, and can silence those that are open.
-type proxy struct {
-	l       net.Listener
-	backend string
-	mu      sync.Mutex
-	open    map[*pipe]bool
-}
-
-type pipe struct {
-	mu     sync.Mutex
-	silent bool
-}
-
-func newProxy(backend string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	p := &proxy{l: l, backend: backend, open: map[*pipe]bool{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(c)
-		}
-	}()
-	return p, nil
-}
-
-func (p *proxy) addr() string { return p.l.Addr().String() }
-
-func (p *proxy) serve(c net.Conn) {
-	b, err := net.Dial("tcp", p.backend)
-	if err != nil {
-		_ = c.Close()
-		return
-	}
-	pp := &pipe{}
-	p.mu.Lock()
-	p.open[pp] = true
-	p.mu.Unlock()
-	var g sync.WaitGroup
-	g.Go(func() { pp.copy(b, c) })
-	g.Go(func() { pp.copy(c, b) })
-	g.Wait()
-	p.mu.Lock()
-	delete(p.open, pp)
-	p.mu.Unlock()
-}
-
-// copy passes bytes on until one side closes; of a silent channel it drops them.
-func (pp *pipe) copy(to, from net.Conn) {
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		pp.mu.Lock()
-		silent := pp.silent
-		pp.mu.Unlock()
-		if err == nil && silent {
-			continue
-		}
-		if err == nil {
-			_, err = to.Write(buf[:n])
-		}
-		if err != nil {
-			_ = to.Close()
-			_ = from.Close()
-			return
-		}
-	}
-}
-
-// silence drops, from now on, all bytes on the channels that are open, and returns how many
-// there are.
-func (p *proxy) silence() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for pp := range p.open {
-		pp.mu.Lock()
-		pp.silent = true
-		pp.mu.Unlock()
-	}
-	return len(p.open)
-}
