--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(w *world, trouble bool) (int, string){
 	"ends":   playEnds,
 	"cancel": playCancel,
+	"route":  playRoute,
 	"rows":   playRows,
 }
 
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -347,10 +348,11 @@
 	CPU           int64 `json:"Cpu"`
 	MemMb         int64
 	EstimateMs    int
-	After         []int `json:",omitempty"`
-	LongRunning   bool  `json:",omitempty"`
-	Gang          bool  `json:",omitempty"`
-	Checkpointing bool  `json:",omitempty"`
+	After         []int  `json:",omitempty"`
+	LongRunning   bool   `json:",omitempty"`
+	Gang          bool   `json:",omitempty"`
+	Checkpointing bool   `json:",omitempty"`
+	Affinity      string `json:",omitempty"`
 }
 
 // call makes one call of a client and returns the status, 0 for no answer, and the body.
@@ -419,3 +421,18 @@
 	}
 	return false
 }
+
+// running returns how many runs are active on the minions, of some submissions or of all.
+func (w *world) running(ids ...string) int {
+	n := 0
+	for _, m := range w.minions {
+		m.mu.Lock()
+		for task := range m.active {
+			if len(ids) == 0 || slices.Contains(ids, submissionOf(task)) {
+				n++
+			}
+		}
+		m.mu.Unlock()
+	}
+	return n
+}
