--- a/review/_standin2/minion.go
+++ b/review/_standin2/minion.go
@@ -15,6 +15,7 @@
 	holdMax      = 6000 * time.Millisecond
 	beatInterval = 1500 * time.Millisecond
 	stopTime     = 50 * time.Millisecond
+	gangTimeout  = 3000 * time.Millisecond
 	maxEndsShown = 500
 )
 
@@ -33,6 +34,68 @@
 	lasts   time.Duration
 	fails   bool
 	stopsAt time.Duration
+	// gang is set for a member of a gang, which works only once all are present.
+	gang *gangRun
+}
+
+// gangRun is one run of a gang. Its members may be on several minions.
+type gangRun struct {
+	count int
+	mu    sync.Mutex
+	// present counts the members that have begun, workingAt is when the last one had; broken is
+	// set once one of them has ended otherwise than done.
+	present   int
+	workingAt time.Time
+	broken    bool
+}
+
+func (g *gangRun) join() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.present++; g.present == g.count {
+		g.workingAt = time.Now()
+	}
+}
+
+func (g *gangRun) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.broken = true
+}
+
+// state returns for how long the gang has worked, 0 if it does not yet, and whether it is broken.
+func (g *gangRun) state() (worked time.Duration, broken bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.workingAt.IsZero() {
+		worked = time.Since(g.workingAt)
+	}
+	return worked, g.broken
+}
+
+// outcome returns how a run ends now, or "" if it goes on.
+func (a *activeRun) outcome(now, lease time.Duration) string {
+	worked := now - a.began
+	broken, alone := false, false
+	if a.gang != nil {
+		worked, broken = a.gang.state()
+		alone = worked == 0 && now-a.began > gangTimeout
+	}
+	switch {
+	case now > lease:
+		return "lapsed"
+	case now >= a.stopsAt:
+		return "stopped"
+	case broken:
+		return "broken"
+	case alone:
+		return "alone"
+	case worked < a.lasts:
+		return ""
+	case a.fails:
+		return "failed"
+	}
+	return "done"
 }
 
 // endedRun is an end that a minion lists until it has been taken note of.
@@ -170,7 +233,11 @@
 		return
 	}
 	lasts, fails := m.work(m, o.Task, o.RunID)
-	m.active[o.Task] = &activeRun{task: o.Task, run: o.RunID, began: m.clock(), lasts: lasts, fails: fails, stopsAt: math.MaxInt64}
+	gang := m.world.gangOf(o.Task, o.RunID)
+	if gang != nil {
+		gang.join()
+	}
+	m.active[o.Task] = &activeRun{task: o.Task, run: o.RunID, began: m.clock(), lasts: lasts, fails: fails, stopsAt: math.MaxInt64, gang: gang}
 	m.world.log.started(m.id, o.Task, o.RunID, o.FencingToken, o.Spec)
 	m.ok(w)
 }
@@ -217,7 +284,11 @@
 	}
 	active, finished := [][]any{}, [][]any{}
 	for _, a := range m.active {
-		percent := min(100, int(100*(m.clock()-a.began)/max(a.lasts, 1)))
+		worked := m.clock() - a.began
+		if a.gang != nil {
+			worked, _ = a.gang.state()
+		}
+		percent := min(100, int(100*worked/max(a.lasts, 1)))
 		active = append(active, []any{a.task, a.run, "", percent})
 	}
 	for _, e := range m.ends[:min(len(m.ends), maxEndsShown)] {
@@ -232,21 +303,18 @@
 	defer m.mu.Unlock()
 	now := m.clock()
 	var over []*activeRun
+	how := map[*activeRun]string{}
 	for _, a := range m.active {
-		if now > m.lease || now >= a.began+a.lasts || now >= a.stopsAt {
+		if end := a.outcome(now, m.lease); end != "" {
 			over = append(over, a)
+			how[a] = end
 		}
 	}
 	slices.SortFunc(over, func(a, b *activeRun) int { return int(a.began + a.lasts - b.began - b.lasts) })
 	for _, a := range over {
-		how := "done"
-		switch {
-		case now > m.lease:
-			how = "lapsed"
-		case now >= a.stopsAt:
-			how = "stopped"
-		case a.fails:
-			how = "failed"
+		how := how[a]
+		if a.gang != nil && how != "done" {
+			a.gang.leave()
 		}
 		delete(m.active, a.task)
 		m.lastN++
--- a/review/_standin2/rows.go
+++ b/review/_standin2/rows.go
@@ -13,7 +13,7 @@
 	finish   = 14 * time.Second
 )
 
-// playRows lets two of 24 minions fail all that they start for some seconds, while one large
+// playRows lets three of 36 minions fail all that they start for some seconds, while one large
 // submission runs. Small submissions of another tenant follow. If the large one does not get
 // done, its client cancels it.
 func playRows(w *world, trouble bool) (int, string) {
@@ -24,12 +24,9 @@
 	)
 	var grey atomic.Bool
 	work := func(m *minion, _ string, _ uint64) (time.Duration, bool) {
-		if grey.Load() && (m.id == "i-0001" || m.id == "i-0002") {
-			return 500 * time.Millisecond, true
-		}
-		return time.Second, false
+		return time.Second, grey.Load() && m.id <= "i-0003"
 	}
-	if err := w.addMinions(24, capacity{CPU: 64000, MemMb: 262144}, work); err != nil {
+	if err := w.addMinions(36, capacity{CPU: 64000, MemMb: 262144}, work); err != nil {
 		return notRun, err.Error()
 	}
 	if err := w.startNodes(9); err != nil {
@@ -39,10 +36,10 @@
 	time.Sleep(5 * time.Second)
 	if trouble {
 		grey.Store(true)
-		w.log.printf("minions i-0001 and i-0002 fail all that they start")
+		w.log.printf("minions i-0001 to i-0003 fail all that they start")
 		time.AfterFunc(greyTime, func() {
 			grey.Store(false)
-			w.log.printf("minions i-0001 and i-0002 are sound again; %v", w.log.counts())
+			w.log.printf("minions i-0001 to i-0003 are sound again; %v", w.log.counts())
 		})
 	}
 	if !w.submit("one", largeID, "key-a", []phase{{Count: tasks, CPU: 16, MemMb: 16, EstimateMs: 1000}}) {
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -33,6 +34,33 @@
 	minions []*minion
 	config  config
 	ports   int
+	// gangs holds the size of each gang by the ID of its submission, gangRuns their runs by that
+	// and their number.
+	mu       sync.Mutex
+	gangs    map[string]int
+	gangRuns map[string]*gangRun
+}
+
+// gangOf returns the run of a gang that a task's run belongs to, nil if it is of no gang.
+func (w *world) gangOf(task string, run uint64) *gangRun {
+	id := submissionOf(task)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gangs[id] == 0 {
+		return nil
+	}
+	key := fmt.Sprintf("%s/%d", id, run)
+	if w.gangRuns[key] == nil {
+		w.gangRuns[key] = &gangRun{count: w.gangs[id]}
+	}
+	return w.gangRuns[key]
+}
+
+// addGang makes a submission a gang.
+func (w *world) addGang(id string, count int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gangs[id] = count
 }
 
 // node is one process of the project.
@@ -84,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: tmp, log: log, store: newStore()}
+	w := &world{dir: tmp, log: log, store: newStore(), gangs: map[string]int{}, gangRuns: map[string]*gangRun{}}
 	w.config = config{
 		Version: 1, Routes: []route{newRoute("one", 0), newRoute("two", 1)},
 		Services: []map[string]any{{"Name": service, "HealthPath": "/healthz", "MaxConnections": 64, "Protocol": "h1", "Tls": false, "Preconditions": false, "Standby": false}},
