--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -25,6 +25,7 @@
 	"ends":   playEnds,
 	"cancel": playCancel,
 	"route":  playRoute,
+	"gang":   playGang,
 	"rows":   playRows,
 }
 
