--- a/review/_standin2/minion.go
+++ b/review/_standin2/minion.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"math"
 	"net/http"
 	"slices"
@@ -327,5 +326,3 @@
 		m.ended = make(chan struct{})
 	}
 }
-
-func (m *minion) String() string { return fmt.Sprintf("%s at %s", m.id, m.addr) }
--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -60,7 +60,6 @@
 	name string
 	// lastConditional is the time of the last conditional transaction that came in here.
 	lastConditional atomic.Int64
-	conditional     atomic.Int64
 }
 
 func (d *door) handler() http.Handler {
@@ -90,12 +89,6 @@
 	s.apply([]row{{Table: table, Key: key, Value: text}}, nil)
 }
 
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply(nil, []row{{Table: table, Key: key}})
-}
-
 // apply changes rows; s.mu is held.
 func (s *store) apply(puts, removes []row) {
 	s.version++
@@ -160,7 +153,6 @@
 	}
 	if len(t.ExpectedRevision) > 0 {
 		d.lastConditional.Store(time.Now().UnixNano())
-		d.conditional.Add(1)
 	}
 	lock := d.partLock(part)
 	lock.Lock()
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -192,7 +192,7 @@
 		}
 		nd.store = l.Addr().String()
 		w.nodes = append(w.nodes, nd)
-		if err := nd.writeSettings(true); err != nil {
+		if err := nd.writeSettings(); err != nil {
 			return err
 		}
 	}
@@ -214,7 +214,7 @@
 
 func (n *node) settingsPath() string { return filepath.Join(n.world.dir, n.name+".toml") }
 
-func (n *node) writeSettings(bootstrap bool) error {
+func (n *node) writeSettings() error {
 	w := n.world
 	text := fmt.Sprintf(`NodeName = %q
 Role = "node"
@@ -225,7 +225,7 @@
 Region = %q
 EphemeralPorts = [%d,%d]
 Seeds = []
-Bootstrap = %v
+Bootstrap = true
 LossCounts = false
 Discovery = "platform"
 Entrypoint = "vip"
@@ -251,7 +251,7 @@
 Machines = 2
 Zones = 0
 Regions = 0
-`, n.name, n.ip, n.zone, "r"+n.zone[1:], w.ports+10, w.ports+18, bootstrap, n.addr(0), n.addr(1), n.addr(2))
+`, n.name, n.ip, n.zone, "r"+n.zone[1:], w.ports+10, w.ports+18, n.addr(0), n.addr(1), n.addr(2))
 	text += fmt.Sprintf(`[Bounds]
 SeedLagS = 3
 ReuseAfterS = 2
@@ -356,6 +356,7 @@
 	return last
 }
 
+// stop ends the nodes. With KEEP set their logs stay.
 func (w *world) stop() {
 	for _, n := range w.nodes {
 		if n.cmd != nil {
