--- a/core/fleet/authority.go
+++ b/core/fleet/authority.go
@@ -253,7 +253,7 @@
 // noteEnded records that the worker was found to have ended or to have started again, before
 // that changes what is known of it. What ran on one that has reported is known by its tasks.
 func (w *Worker) noteEnded() {
-	if w.inherited && !w.heard || !w.blockedSince.IsZero() || len(w.unknownRuns) > 0 {
+	if w.inherited && !w.heard || w.hidesEnds || !w.blockedSince.IsZero() || len(w.unknownRuns) > 0 {
 		w.scheduler.authority.endedAt = w.scheduler.now
 		w.scheduler.wantConfirmation()
 	}
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -42,6 +42,8 @@
 	// Unreached is set while an earlier owner's worker has not answered this owner and
 	// its runs have not certainly ended.
 	Unreached bool
+	// Hides is set while runs of earlier owners may have ended there that no list has named.
+	Hides bool
 	// Foreign counts the runs of unknown jobs.
 	Foreign int
 	// Heard is the time since the worker's last answer.
@@ -90,7 +92,7 @@
 	for _, w := range s.sortedWorkers {
 		d.Workers = append(d.Workers, WorkerDump{
 			Worker: w.id, State: workerChart.Name(w.state), Room: w.info.Capacity, Free: w.free, Tasks: len(w.tasks), Strays: len(w.orphans),
-			Usable: w.usable(), Recorded: w.inRoster, Unreached: w.unreached(), Foreign: len(w.unknownRuns),
+			Usable: w.usable(), Recorded: w.inRoster, Unreached: w.unreached(), Hides: w.hidesEnds, Foreign: len(w.unknownRuns),
 			Leaving: w.info.Leaving, SetAside: s.now.Before(w.asideUntil), Heard: s.now.Sub(w.answeredAt).Round(time.Millisecond).String(),
 			Taken: w.handledEnd, Acked: w.ackedEnd, Slow: w.slowness,
 		})
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -59,6 +59,7 @@
 	if !w.incarnation.IsZero() && !l.Incarnation.Equal(w.incarnation) {
 		w.resetIncarnation()
 	}
+	w.noteListLength(l)
 	w.incarnation = l.Incarnation
 	w.setIncarnation(l.Incarnation)
 	leaseMayGoOn := w.leaseMayGoOn(l.Clock)
@@ -94,7 +95,7 @@
 // former incarnation does not prevent a run on the new one.
 func (w *Worker) resetIncarnation() {
 	w.scheduler.counts.Lapses++
-	w.unknownRuns, w.blockedSince = nil, time.Time{}
+	w.unknownRuns, w.blockedSince, w.hidesEnds = nil, time.Time{}, false
 	w.scheduler.stopRepeat.schedule(time.Time{})
 	for _, t := range w.tasks {
 		t.stopSentAt, t.stopAckedAt = time.Time{}, time.Time{}
@@ -139,12 +140,16 @@
 		if i := slices.IndexFunc(w.orphans, func(o orphanedRun) bool { return o.task == e.Task && o.run == e.Run }); i >= 0 {
 			w.releaseOrphan(w.orphans[i])
 			w.orphans = slices.Delete(w.orphans, i, i+1)
+			w.hidesEnds = false
 		}
 		t := s.namedTask(e.Task)
 		d := Decision{Job: e.Task.Job, Event: EventRunEnded + e.Reason, Worker: w.id, Task: e.Task.String(), Run: e.Run, LastEnd: e.Number}
 		if t != nil {
-			if t.worker == w && t.run == e.Run && !t.startedAt.IsZero() {
-				d.Wait = s.now.Sub(t.startedAt)
+			if t.worker == w && t.run == e.Run {
+				w.hidesEnds = false
+				if !t.startedAt.IsZero() {
+					d.Wait = s.now.Sub(t.startedAt)
+				}
 			}
 			t.runEnded(w, e.Run, e.Kind, e.Checkpoint)
 		}
@@ -190,6 +195,7 @@
 // worker lists as active.
 func (w *Worker) reconcileActive(sentAt time.Time, l RunLists) {
 	s := w.scheduler
+	unknownBefore := w.unknownRuns
 	w.unknownRuns = nil
 	type runID struct {
 		task jobs.TaskID
@@ -201,12 +207,7 @@
 		t := s.namedTask(a.Task)
 		switch {
 		case t == nil:
-			if w.unknownRuns == nil {
-				w.unknownRuns = map[jobs.TaskID]uint64{}
-			}
-			w.unknownRuns[a.Task] = a.Run
-			s.unknownJobSeen = true
-			s.nameParked(a.Task.Job)
+			w.addUnknownRun(a.Task, a.Run)
 		case t.worker == w && t.run == a.Run:
 			t.fire(taskFound)
 			t.applyReport(a)
@@ -225,6 +226,12 @@
 			endsWaiting[runID{e.Task, e.Run}] = struct{}{}
 		}
 	}
+	for id, run := range unknownBefore {
+		// The run may have ended behind the last end that is listed.
+		if s.jobs[id.Job] == nil && l.More && !slices.ContainsFunc(l.Ended, func(e EndedRun) bool { return e.Task == id && e.Run == run }) {
+			w.addUnknownRun(id, run)
+		}
+	}
 	var notListed []*Task
 	for id, t := range w.tasks {
 		_, isActive := listed[runID{id, t.run}]
@@ -234,7 +241,7 @@
 	}
 	sortTasks(notListed)
 	for _, t := range notListed {
-		t.runNotListed(sentAt, len(l.Ended))
+		t.runNotListed(sentAt, l.More)
 	}
 	w.orphans = slices.DeleteFunc(w.orphans, func(o orphanedRun) bool {
 		_, ok := listed[runID{o.task, o.run}]
@@ -248,6 +255,17 @@
 	})
 }
 
+// addUnknownRun records a run of a job that the scheduler does not know, and requests that
+// the job is read.
+func (w *Worker) addUnknownRun(id jobs.TaskID, run uint64) {
+	if w.unknownRuns == nil {
+		w.unknownRuns = map[jobs.TaskID]uint64{}
+	}
+	w.unknownRuns[id] = run
+	w.scheduler.unknownJobSeen = true
+	w.scheduler.nameParked(id.Job)
+}
+
 // orphanFound records a listed run that is not the task's current run as an
 // orphaned run and stops it.
 func (w *Worker) orphanFound(t *Task, a ActiveRun) {
@@ -320,14 +338,10 @@
 	t.worker.slowness += progressGain * (math.Log(runTime/expected.Seconds()) - t.worker.slowness)
 }
 
-// maxListedEnds is the most ends that an answer lists. A run that neither list
-// names may be among the ends that did not fit.
-const maxListedEnds = 500
-
 // runNotListed handles a heartbeat answer that lists the task's run neither as
-// active nor as ended.
-func (t *Task) runNotListed(sentAt time.Time, endCount int) {
-	if endCount >= maxListedEnds {
+// active nor as ended. If there are more ends, its own may be among them.
+func (t *Task) runNotListed(sentAt time.Time, more bool) {
+	if more {
 		return
 	}
 	switch t.state {
@@ -421,7 +435,7 @@
 			// The worker would list the unacknowledged ends again at once.
 			continue
 		default:
-			if needsContacts || !mayAck {
+			if needsContacts || !mayAck || w.hidesEnds {
 				wait = 0
 			}
 			if mayAck {
--- a/core/fleet/membership_test.go
+++ b/core/fleet/membership_test.go
@@ -166,6 +166,7 @@
 			t.Parallel()
 			is := is.New(t)
 			m := newMembership(t, seed)
+			m.cutLists(seed)
 			m.lossRate, m.delayRate = 0.03*m.rng.Float64(), m.rng.Float64()
 			const jobCount, faultyTicks, calmTicks = 30, 1200, 3500
 			for i := range faultyTicks {
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -147,6 +147,15 @@
 	return h
 }
 
+// cutLists cuts off the workers' lists of ends in plays with an odd seed.
+func (h *harness) cutLists(seed uint64) {
+	if seed%2 == 1 {
+		for _, w := range h.workers {
+			w.MaxEnds = 2 + int(seed/2%4)
+		}
+	}
+}
+
 // listUp lists the workers that are up.
 func (h *harness) listUp() (fleet.WorkerList, bool) {
 	var list fleet.WorkerList
@@ -419,6 +428,7 @@
 			t.Parallel()
 			is := is.New(t)
 			h := newHarness(t, seed, 4, core.Resources{})
+			h.cutLists(seed)
 			h.lossRate, h.delayRate = 0.05*h.rng.Float64(), h.rng.Float64()
 			const jobCount, faultyTicks, calmTicks = 25, 700, 3500
 			for i := range faultyTicks {
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -128,10 +128,11 @@
 	Clock time.Duration
 	// Incarnation identifies the incarnation of the worker.
 	Incarnation time.Time
-	// Active holds all active runs; Ended may hold only the oldest of the ends
-	// that have not been acknowledged.
+	// Active holds all active runs, Ended the oldest of the ends that have not been
+	// acknowledged. More is set unless these are certainly all of them.
 	Active []ActiveRun
 	Ended  []EndedRun
+	More   bool
 }
 
 // addOrder adds a call and fills in the worker's address and the lease.
--- a/core/fleet/proof.go
+++ b/core/fleet/proof.go
@@ -89,9 +89,9 @@
 }
 
 // hasNoRuns reports whether the worker has no runs, none can start there, and
-// all ends that have been handled are acknowledged.
+// all ends have been handled and acknowledged.
 func (w *Worker) hasNoRuns() bool {
-	return len(w.tasks) == 0 && len(w.orphans) == 0 && len(w.unknownRuns) == 0 && w.blockedSince.IsZero() && w.ackedEnd == w.handledEnd
+	return len(w.tasks) == 0 && len(w.orphans) == 0 && len(w.unknownRuns) == 0 && !w.hidesEnds && w.blockedSince.IsZero() && w.ackedEnd == w.handledEnd
 }
 
 // onSlowestClock returns the longest time that passes while a worker's clock advances
--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -47,8 +47,8 @@
 func (s *Scheduler) AllReported() bool { return s.allReported }
 
 // resolveRecovered lets the unresolved tasks start once every worker that may run them
-// has reported or its runs have certainly ended: a run that no worker listed does not
-// exist. A worker may run any task unless its entry in the roster names its runs.
+// has reported or its runs have certainly ended: a run that no worker has listed does not
+// exist then. A worker may run any task unless its entry in the roster names its runs.
 func (s *Scheduler) resolveRecovered() {
 	s.settle()
 	if s.allReported && len(s.unresolved) == 0 && len(s.heldPhases) == 0 || slices.ContainsFunc(s.sortedWorkers, (*Worker).mayRunAny) {
@@ -110,13 +110,28 @@
 // unreported reports whether the worker may run, or may have ended, tasks
 // without the scheduler's knowledge.
 func (w *Worker) unreported() bool {
-	return w.unreached() || !w.blockedSince.IsZero()
+	return w.unreached() || w.hidesEnds || !w.blockedSince.IsZero()
+}
+
+// noteListLength notes whether runs of earlier owners may have ended on the worker that no
+// list has named yet. It is called before the first answer of an incarnation is handled and
+// with each later one: what ends after the first answer was active in it or was started by
+// this owner.
+func (w *Worker) noteListLength(l RunLists) {
+	first := !l.Incarnation.Equal(w.incarnation)
+	switch {
+	case first && l.More:
+		w.hidesEnds = true
+		w.scheduler.logDecision(Decision{Event: "worker has more ends than it lists", Worker: w.id, Count: len(l.Ended)})
+	case !l.More:
+		w.hidesEnds = false
+	}
 }
 
 // mayRunAny reports whether any task may run on the worker without the scheduler's
 // knowledge.
 func (w *Worker) mayRunAny() bool {
-	return w.unreported() && (!w.accounted || !w.blockedSince.IsZero())
+	return w.unreported() && (!w.accounted || w.hidesEnds || !w.blockedSince.IsZero())
 }
 
 // sumUnreportedCapacity returns the total capacity of the unreported workers.
--- a/core/fleet/reload_test.go
+++ b/core/fleet/reload_test.go
@@ -177,6 +177,7 @@
 				r.memory = 120 << 10
 				r.currentOwner().scheduler.SetLimits(fleet.Limits{Lease: leaseDuration, ListTimeout: 4500 * time.Millisecond, RemoteFactor: 1, Memory: r.memory})
 			}
+			r.cutLists(seed)
 			r.lossRate, r.delayRate = 0.05*r.rng.Float64(), r.rng.Float64()
 			const jobCount, faultyTicks, calmTicks = 20, 900, 20_000
 			for i := range faultyTicks {
--- a/core/fleet/repeat_test.go
+++ b/core/fleet/repeat_test.go
@@ -75,6 +75,7 @@
 			t.Parallel()
 			is := is.New(t)
 			h := newHarness(t, seed, 4, core.Resources{})
+			h.cutLists(seed)
 			h.maxSkew = 2 * time.Second
 			h.lossRate, h.delayRate = 0.05*h.rng.Float64(), h.rng.Float64()
 			const jobCount, faultyTicks, calmTicks = 15, 900, 4500
@@ -150,6 +151,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(t, seed, 4, core.Resources{})
+			h.cutLists(seed)
 			h.maxSkew, h.memory = 2*time.Second, 120<<10
 			h.currentOwner().scheduler.SetLimits(fleet.Limits{Lease: leaseDuration, ListTimeout: 4500 * time.Millisecond, RemoteFactor: 1, Memory: h.memory})
 			h.lossRate, h.delayRate = 0.05*h.rng.Float64(), h.rng.Float64()
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -112,7 +112,7 @@
 // possibleRuns returns all tasks that may run on a silent worker, or have ended there
 // unrecorded. It reports false if they are not known or too many for the roster.
 func (w *Worker) possibleRuns() ([]jobs.TaskID, bool) {
-	if w.ackableSeq > w.scheduler.storedSeq || len(w.unknownRuns) > 0 || !w.blockedSince.IsZero() {
+	if w.ackableSeq > w.scheduler.storedSeq || len(w.unknownRuns) > 0 || w.hidesEnds || !w.blockedSince.IsZero() {
 		return nil, false
 	}
 	var out []jobs.TaskID
--- a/core/fleet/split_test.go
+++ b/core/fleet/split_test.go
@@ -82,6 +82,7 @@
 func newSplitPlay(t *testing.T, seed uint64) *splitPlay {
 	p := &splitPlay{splitNetwork: newSplitNetwork(t, seed, 4+int(seed%3))}
 	p.disturbNew = p.cutFromSides
+	p.cutLists(seed)
 	p.lossRate, p.delayRate, p.heldRate = 0.03*p.rng.Float64(), p.rng.Float64(), 0.3*p.rng.Float64()
 	if p.rng.IntN(2) == 0 {
 		p.maxSkew = 2 * time.Second
--- a/core/fleet/suspend_test.go
+++ b/core/fleet/suspend_test.go
@@ -32,7 +32,10 @@
 	return p
 }
 
+// suspend suspends an owner for a number of whole ticks, as the sending times of its calls
+// are moved by whole ticks meanwhile.
 func (p *suspensionPlay) suspend(o *simOwner, length time.Duration) {
+	length = length.Truncate(tickInterval)
 	if _, ok := p.suspensions[o]; ok || o.stopped {
 		return
 	}
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -84,7 +84,7 @@
 
 // heartbeat answers a heartbeat for a worker with its active and ended runs.
 func (f *fixture) heartbeat(w fleet.WorkerInfo, active []fleet.ActiveRun, ended []fleet.EndedRun) {
-	f.HeartbeatAnswered(f.now, w.ID(), f.now, fleet.RunLists{Clock: f.now.Sub(startTime), Incarnation: w.Incarnation, Active: active, Ended: ended})
+	f.answer(w, fleet.RunLists{Active: active, Ended: ended})
 }
 
 // doneEnd returns the list of ends with which a worker reports that an order's run is
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -137,6 +137,10 @@
 	// to blockedThrough then.
 	blockedSince   time.Time
 	blockedThrough uint64
+	// hidesEnds is set while runs of earlier owners may have ended there that no list has
+	// named: the first list was cut off, none has been complete since, and no run that was
+	// known then has ended, which would show that all earlier ends have been handled.
+	hidesEnds bool
 
 	// clock is the worker's clock in its last answer, which arrived at
 	// answeredAt.
@@ -312,7 +316,7 @@
 		w.releaseOrphan(o)
 	}
 	w.orphans = nil
-	w.unknownRuns, w.blockedSince = nil, time.Time{}
+	w.unknownRuns, w.blockedSince, w.hidesEnds = nil, time.Time{}, false
 }
 
 // sortedTasks returns the tasks in order of their IDs, for deterministic decisions.
--- a/core/model/worker.go
+++ b/core/model/worker.go
@@ -103,6 +103,8 @@
 	Log []*RunRecord
 	// MaxLease is the longest lease that the worker accepts.
 	MaxLease time.Duration
+	// MaxEnds is the most ends that a list holds; 0 means no limit.
+	MaxEnds int
 }
 
 // New returns a worker that starts at a time. Its clock runs at clockRate, and it
@@ -282,9 +284,12 @@
 	return w.Lists(), fleet.ReplyOK
 }
 
-// Lists returns the active runs and the ends that have not been acknowledged.
+// Lists returns the active runs and the oldest of the ends that have not been acknowledged.
 func (w *Worker) Lists() fleet.RunLists {
 	l := fleet.RunLists{Clock: w.Clock(), Incarnation: w.incarnation, Ended: slices.Clone(w.ended)}
+	if w.MaxEnds > 0 && len(l.Ended) >= w.MaxEnds {
+		l.Ended, l.More = l.Ended[:w.MaxEnds], true
+	}
 	for _, r := range w.active {
 		percent := 100 * r.worked / max(w.tasks.Task(r.key.task).Work, 1)
 		l.Active = append(l.Active, fleet.ActiveRun{Task: r.key.task, Run: r.key.run, Percent: int(percent)})
