--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chicoryturn/core"
 	"chicoryturn/core/chart"
 	"chicoryturn/core/jobs"
 )
@@ -32,6 +33,8 @@
 	occurrencesLeft, tasksPlaced int
 	tasksPerOccurrence           int
 	progress                     jobs.Progress
+	// dirtyPages holds the pages of failed runs in progress that must be stored.
+	dirtyPages core.Set[int]
 	// seq numbers the jobs in the order in which this scheduler has added them.
 	seq        uint64
 	acceptedAt time.Time
@@ -49,7 +52,7 @@
 func (s *Scheduler) add(spec jobs.Spec) *Job {
 	s.lastJobSeq++
 	j := &Job{
-		Spec: spec, scheduler: s, state: jobChart.Start(), seq: s.lastJobSeq, acceptedAt: spec.Accepted, progress: jobs.Progress{Job: spec.ID},
+		Spec: spec, scheduler: s, state: jobChart.Start(), seq: s.lastJobSeq, acceptedAt: spec.Accepted, progress: jobs.Progress{Job: spec.ID}, dirtyPages: core.Set[int]{},
 		hash: xxhash.Sum64String(string(spec.ID)), tasksPerOccurrence: spec.TasksPerOccurrence(), occurrences: map[int]*occurrence{}, occurrencesLeft: spec.Occurrences(),
 	}
 	if j.acceptedAt.IsZero() || j.acceptedAt.After(s.now) {
@@ -88,20 +91,22 @@
 	}
 }
 
-// markDirty queues the job's progress for the next batch.
-func (j *Job) markDirty() {
-	j.scheduler.changeSeq++
-	j.scheduler.dirty[j.Spec.ID] = j
-}
-
 // restore applies stored progress to a new job.
 func (j *Job) restore(recorded *jobs.Progress) {
 	if recorded.Job == "" {
 		return
 	}
 	j.progress = recorded.Clone()
+	j.dirtyPages.Add(recorded.Pages...)
+	j.progress.Pages = nil
 	if recorded.State.Final() {
+		j.dirtyPages.Add(recorded.FailedPages()...)
 		j.fire(jobRestore)
+	}
+	if len(j.dirtyPages) > 0 {
+		j.markDirty()
+	}
+	if recorded.State.Final() {
 		return
 	}
 	for k := range j.Spec.Occurrences() {
@@ -114,28 +119,25 @@
 // completeIfDone completes the job once all its occurrences are complete.
 func (j *Job) completeIfDone() {
 	if j.occurrencesLeft == 0 && !j.ended() {
-		j.progress.State = jobs.Completed
+		j.end(jobs.Completed)
 		j.scheduler.removeDue(j)
 		j.fire(jobComplete)
-		j.markDirty()
 	}
 }
 
 // cancel ends the job because its cancellation is stored.
 func (j *Job) cancel() {
 	if !j.ended() {
-		j.progress.State = jobs.Cancelled
+		j.end(jobs.Cancelled)
 		j.fire(jobCancel)
-		j.markDirty()
 	}
 }
 
 // fail ends the job because a task has failed too often.
 func (j *Job) fail() {
 	if !j.ended() {
-		j.progress.State = jobs.Failed
+		j.end(jobs.Failed)
 		j.fire(jobFail)
-		j.markDirty()
 	}
 }
 
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -388,9 +388,7 @@
 			o.stopped = true
 			return
 		}
-		for _, p := range o.batch {
-			h.storedProgress[p.Job] = p
-		}
+		h.storeProgress(o.batch)
 		h.recordedAt = h.now
 		o.scheduler.Renewed(o.sentAt.Add(o.skew))
 		o.scheduler.BatchStored(h.nowOf(o))
@@ -407,6 +405,16 @@
 	o.writtenAt = h.now.Add(time.Duration(10+h.rng.IntN(400)) * time.Millisecond)
 }
 
+// storeProgress stores changes of progress.
+func (h *harness) storeProgress(changes []jobs.Progress) {
+	for _, change := range changes {
+		p := h.storedProgress[change.Job]
+		p = p.Clone()
+		p.Merge(&change)
+		h.storedProgress[change.Job] = p
+	}
+}
+
 // TestNoFaults checks that all jobs complete without faults.
 func TestNoFaults(t *testing.T) {
 	is := is.New(t)
--- a/core/fleet/network_test.go
+++ b/core/fleet/network_test.go
@@ -286,9 +286,7 @@
 			w.stored = true
 			n.record.version++
 			n.record.stamp = w.sentAt
-			for _, p := range w.progress {
-				n.storedProgress[p.Job] = p
-			}
+			n.storeProgress(w.progress)
 			if w.roster != nil {
 				n.storedRoster = w.roster
 			}
--- a/core/fleet/parked.go
+++ b/core/fleet/parked.go
@@ -176,7 +176,7 @@
 	delete(s.jobs, j.Spec.ID)
 	s.accepted.Credit(j.Spec.Team, j.Spec.Bytes())
 	stub := NewStub(&j.Spec)
-	stub.Due, stub.Started = j.nextDue, len(j.progress.Done) > 0
+	stub.Due, stub.Started = j.nextDue, len(j.progress.Done)+len(j.progress.FailedRuns) > 0
 	s.park(&parkedJob{Stub: stub})
 	s.logParked(stub.ID)
 	return true
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -20,9 +20,6 @@
 	// the runs of a task, so that later owners use higher numbers. The first
 	// owner's runs begin at 1.
 	runNumberBits = 20
-	// maxBatchRows bounds the rows of one batch: the platform accepts 100
-	// entries per transaction, and the ownership record is one of them.
-	maxBatchRows = 90
 	// maxClosedJobs bounds the ended jobs kept in memory to answer queries. Older ones
 	// are read from the store.
 	maxClosedJobs = 8000
@@ -167,13 +164,6 @@
 	laterEpoch core.Epoch
 }
 
-// inFlightRow is a job in the batch in flight, with the state that the batch
-// stores.
-type inFlightRow struct {
-	job   *Job
-	state jobs.State
-}
-
 // bounded returns the limits with the lease reduced to maxLease.
 func (l Limits) bounded() Limits {
 	l.Lease = min(l.Lease, maxLease)
@@ -399,55 +389,6 @@
 	return out
 }
 
-// Batch returns the progress to store next, or nil while an earlier batch is in
-// flight.
-func (s *Scheduler) Batch() []jobs.Progress {
-	if s.inFlight != nil || len(s.dirty) == 0 {
-		return nil
-	}
-	var rows []jobs.Progress
-	for id, j := range s.dirty {
-		if len(rows) == maxBatchRows {
-			break
-		}
-		rows = append(rows, j.progress.Clone())
-		s.inFlight = append(s.inFlight, inFlightRow{j, j.progress.State})
-		delete(s.dirty, id)
-	}
-	if len(s.dirty) == 0 {
-		s.inFlightSeq = s.changeSeq
-	}
-	return rows
-}
-
-// BatchStored handles the confirmation that the batch in flight is in the
-// store.
-func (s *Scheduler) BatchStored(now time.Time) {
-	s.now = now
-	for _, row := range s.inFlight {
-		if row.state != "" && row.job.state == jobClosing {
-			row.job.fire(jobRecorded)
-			row.job.logEnd()
-			row.job.shrink()
-			s.closed = append(s.closed, closedJob{row.job.Spec.ID, now})
-		}
-	}
-	s.inFlight = nil
-	s.storedSeq = s.inFlightSeq
-	s.trimClosed()
-}
-
-// BatchFailed queues the progress in flight again after a write that failed or
-// had no answer. If the write took effect after all, writing the same progress
-// again is harmless.
-func (s *Scheduler) BatchFailed() {
-	for _, row := range s.inFlight {
-		s.dirty[row.job.Spec.ID] = row.job
-	}
-	s.inFlight = nil
-	s.inFlightSeq = s.storedSeq
-}
-
 func (s *Scheduler) chargeTeam(team core.Team, r core.Resources) { s.used[team] = s.used[team].Add(r) }
 
 func (s *Scheduler) creditTeam(team core.Team, r core.Resources) {
--- a/core/fleet/task.go
+++ b/core/fleet/task.go
@@ -204,12 +204,13 @@
 	if p.spec.Gang {
 		position = p.firstPosition
 	}
-	if !p.job.progress.AddFailedRun(position, t.run) {
+	if p.job.ended() || !p.job.progress.AddFailedRun(position, t.run) {
 		return
 	}
 	p.job.scheduler.counts.Failures++
+	p.job.dirtyPages.Add(jobs.PageOf(position))
 	p.job.markDirty()
-	if !p.spec.LongRunning && len(p.job.progress.FailedRuns[position]) >= p.maxAttempts() {
+	if !p.spec.LongRunning && p.job.progress.CountFailedRuns(position) >= p.maxAttempts() {
 		p.job.fail()
 	}
 }
--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math"
 	"math/bits"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -293,10 +292,15 @@
 	// Done has one bit for each task, ordered by occurrence, phase and index. The
 	// bit is set once the task is done.
 	Done []byte `json:",omitempty"`
-	// FailedRuns maps a task's position in Done to the numbers of its failed runs.
-	// The failed runs of a gang are kept at its first task. Each run is kept once,
-	// even if a worker reports its end several times.
+	// FailedRuns maps a task's position in Done to the numbers of its failed runs, in
+	// ascending order and at most maxFailedRuns. The failed runs of a gang are kept at its
+	// first task. Each run is kept once, even if a worker reports its end several times.
 	FailedRuns map[int][]uint64 `json:"Fails,omitempty"`
+	// OlderRuns counts by position the failed runs of lower numbers, which are not kept.
+	OlderRuns map[int]int `json:"Older,omitempty"`
+	// Pages are the pages of FailedRuns and OlderRuns that must be stored, in ascending
+	// order. In a change of the progress these fields hold no other pages.
+	Pages []int `json:"-"`
 }
 
 // SetDone marks the task at a position in Done as done.
@@ -329,28 +333,3 @@
 	}
 	return n
 }
-
-// AddFailedRun adds a failed run of the task at a position in Done and reports
-// whether it is new.
-func (p *Progress) AddFailedRun(position int, run uint64) bool {
-	if slices.Contains(p.FailedRuns[position], run) {
-		return false
-	}
-	if p.FailedRuns == nil {
-		p.FailedRuns = map[int][]uint64{}
-	}
-	p.FailedRuns[position] = append(p.FailedRuns[position], run)
-	return true
-}
-
-// Clone returns a deep copy.
-func (p *Progress) Clone() Progress {
-	c := Progress{Job: p.Job, State: p.State, Done: append([]byte(nil), p.Done...)}
-	if len(p.FailedRuns) > 0 {
-		c.FailedRuns = make(map[int][]uint64, len(p.FailedRuns))
-		for k, v := range p.FailedRuns {
-			c.FailedRuns[k] = slices.Clone(v)
-		}
-	}
-	return c
-}
--- a/core/types.go
+++ b/core/types.go
@@ -163,8 +163,12 @@
 // Has reports whether v is in the set.
 func (s Set[T]) Has(v T) bool { _, ok := s[v]; return ok }
 
-// Add puts v into the set.
-func (s Set[T]) Add(v T) { s[v] = struct{}{} }
+// Add puts values into the set.
+func (s Set[T]) Add(vals ...T) {
+	for _, v := range vals {
+		s[v] = struct{}{}
+	}
+}
 
 // Option is a value that may be absent.
 type Option[T any] struct {
--- a/io/record/format_test.go
+++ b/io/record/format_test.go
@@ -172,8 +172,8 @@
 	checkAllSet(t, loaded["full"].Phases[0])
 	checkAllSet(t, loaded["full"].Phases[1])
 	checkAllSet(t, loaded["full"])
-	checkAllSet(t, snap.Progress["full"])
-	checkAllSet(t, snap.Roster[0].WorkerInfo) // that build had no other fields
+	checkAllSet(t, snap.Progress["full"], jobs.Progress{OlderRuns: map[int]int{1: 1}, Pages: []int{1}}) // that build had no others, Pages is not stored
+	checkAllSet(t, snap.Roster[0].WorkerInfo)                                                           // that build had no other fields
 	checkAllSet(t, snap.Roster[1].WorkerInfo)
 	checkAllSet(t, obs.Record, heldRecord(t)) // that build had no Held, Yields and Delay
 
@@ -190,7 +190,12 @@
 	is.NoErr(err)
 	is.Equal(len(again.rows), len(old.rows))
 	for k, row := range old.rows {
-		is.Equal(string(again.rows[k].Val), compact(t, row.Val))
+		want := compact(t, row.Val)
+		if k.Table == "progress" {
+			// Failed runs have rows of their own now, and a job that has ended needs none.
+			want = strings.Replace(want, `,"Fails":{"17":[18,19],"20":[21]}`, "", 1)
+		}
+		is.Equal(string(again.rows[k].Val), want)
 	}
 }
 
--- a/io/record/load.go
+++ b/io/record/load.go
@@ -134,14 +134,19 @@
 	}
 }
 
-// loadProgress reads the progress of all jobs. That of jobs that have not ended takes at
+// loadProgress reads the progress of all jobs with their failed runs. That of jobs that have not ended takes at
 // most limit bytes, 0 for any number; the others are in unread. Of jobs that have ended it
 // keeps the state alone, if there is a limit.
-func loadProgress(ctx context.Context, pages reader, out *Snapshot, limit int64) (unread core.Set[core.JobID], err error) {
+func loadProgress(ctx context.Context, pages reader, out *Snapshot, limit int64) (unread core.Set[core.JobID], _ error) {
 	var mu sync.Mutex
 	used := int64(0)
 	unread = core.Set[core.JobID]{}
 	g, sub := errgroup.WithContext(ctx)
+	var failed []table.Row
+	g.Go(func() error {
+		_, err := scan(sub, pages, table.Range{Table: failedTable, Part: fleetPart}, func(row table.Row) { failed = append(failed, row) })
+		return err
+	})
 	for i, from := range progressRangeStarts {
 		to := ""
 		if i+1 < len(progressRangeStarts) {
@@ -168,7 +173,14 @@
 			return err
 		})
 	}
-	return unread, g.Wait()
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	if limit > 0 {
+		limit = max(limit-used, 1)
+	}
+	out.addFailed(failed, unread, limit)
+	return unread, nil
 }
 
 // progressBytes returns about what the progress of a job takes in memory.
@@ -189,7 +201,7 @@
 	g.SetLimit(maxParallelReads)
 	for _, id := range ids {
 		g.Go(func() error {
-			progress, err := s.get(sub, progressKey(id))
+			progress, failed, err := s.jobRows(sub, id)
 			if err != nil {
 				return err
 			}
@@ -199,7 +211,8 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if progress.Version > 0 && !out.addProgress(progress) {
+			if !out.addStored(progress, failed) {
+				delete(out.Progress, id)
 				return nil
 			}
 			if row.Version > 0 {
@@ -270,6 +283,7 @@
 	if string(p.Job) != row.Name {
 		return p, &table.FormatError{Subject: row.Table + "/" + row.Name, Err: &NameError{string(p.Job)}}
 	}
+	sortFailedRuns(&p)
 	return p, nil
 }
 
--- a/io/record/roster_test.go
+++ b/io/record/roster_test.go
@@ -69,10 +69,11 @@
 	s := startStore(t, tbl)
 	var progress []jobs.Progress
 	for i := range 90 {
-		p := jobs.Progress{Job: core.JobID(fmt.Sprintf("%016x", i)), FailedRuns: map[int][]uint64{}}
+		p := jobs.Progress{Job: core.JobID(fmt.Sprintf("%016x", i))}
 		for task := range 900 {
-			p.FailedRuns[task] = []uint64{1 << 20}
+			p.AddFailedRun(task, 1<<20)
 		}
+		p.Pages = p.FailedPages()
 		progress = append(progress, p)
 	}
 	numbers := numbersTo(13000)
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -27,6 +27,9 @@
 	jobTable      = "job"
 	fleetTable    = "fleet"
 	progressTable = "progress"
+	// failedTable holds the pages of the jobs' failed runs. Its name sorts before
+	// progressTable: of a write that takes several transactions, pages come first.
+	failedTable = "failed"
 	// cancelSuffix is appended to a job's name for the row of its cancellation.
 	cancelSuffix = "/cancel"
 	// fleetPart is the partition of all rows that an owner writes.
@@ -130,6 +133,10 @@
 	return table.Key{Table: progressTable, Part: fleetPart, Name: string(id)}
 }
 
+func failedKey(id core.JobID, page int) table.Key {
+	return table.Key{Table: failedTable, Part: fleetPart, Name: fmt.Sprintf("%s/%04d", id, page)}
+}
+
 func ownerKey() table.Key {
 	return table.Key{Table: fleetTable, Part: fleetPart, Name: ownerName}
 }
--- a/io/record/write.go
+++ b/io/record/write.go
@@ -26,7 +26,9 @@
 type OwnerWrite struct {
 	Record elect.Record
 	// Version is the version of the ownership record that Record replaces.
-	Version  uint64
+	Version uint64
+	// Progress holds changes of the jobs' progress. A change that holds nothing but pages of
+	// failed runs leaves the rest as it is stored.
 	Progress []jobs.Progress
 	// Deletes are the jobs whose progress rows are deleted.
 	Deletes []core.JobID
@@ -40,8 +42,12 @@
 // have taken effect.
 func (s *Store) Write(ctx context.Context, w OwnerWrite) (table.WriteResult, error) {
 	rows := map[table.Key]any{}
+	var deletes []table.Key
 	for _, p := range w.Progress {
-		rows[progressKey(p.Job)] = p
+		deletes = append(deletes, addProgressRows(rows, p)...)
+	}
+	for _, id := range w.Deletes {
+		deletes = append(deletes, progressKey(id))
 	}
 	pager, changed := s.divideRoster(w)
 	for i, workers := range changed {
@@ -51,7 +57,7 @@
 	if err != nil {
 		return table.WriteResult{}, err
 	}
-	txns, err := divide(owner, rows, w.Deletes)
+	txns, err := divide(owner, rows, deletes)
 	if err != nil {
 		return table.WriteResult{}, err
 	}
@@ -87,7 +93,7 @@
 
 // divide returns the transactions of a write, each with the ownership record and within
 // the platform's limits.
-func divide(owner table.Put, rows map[table.Key]any, deletes []core.JobID) ([]table.Txn, error) {
+func divide(owner table.Put, rows map[table.Key]any, deletes []table.Key) ([]table.Txn, error) {
 	txn := table.Txn{Puts: []table.Put{owner}}
 	// The condition on the ownership record is an entry, too.
 	entries, bytes := 2, entrySize(owner)
@@ -107,8 +113,7 @@
 		next(entrySize(p))
 		txn.Puts = append(txn.Puts, p)
 	}
-	for _, id := range deletes {
-		k := progressKey(id)
+	for _, k := range deletes {
 		next(entrySize(table.Put{Key: k}))
 		txn.Deletes = append(txn.Deletes, k)
 	}
