--- a/core/fleet/batch_test.go
+++ b/core/fleet/batch_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -10,6 +12,126 @@
 	"chicoryturn/core/jobs"
 )
 
+// writeRows writes batches to a store that refuses those of some jobs, unless such a job has
+// failed, until nothing is left to write. It returns the jobs that are stored and the longest
+// run of writes that were refused.
+func (f *fixture) writeRows(refused core.Set[core.JobID], takesEnds bool) (stored map[core.JobID]jobs.Progress, refusals int) {
+	stored = map[core.JobID]jobs.Progress{}
+	inRow := 0
+	for {
+		rows := f.Batch()
+		if len(rows) == 0 && !f.Isolating() {
+			return stored, refusals
+		}
+		if slices.ContainsFunc(rows, func(p jobs.Progress) bool { return refused.Has(p.Job) && (p.State == "" || !takesEnds) }) {
+			inRow++
+			refusals = max(refusals, inRow)
+			f.BatchRefused(f.now)
+			continue
+		}
+		inRow = 0
+		for _, change := range rows {
+			p := stored[change.Job]
+			p.Merge(&change)
+			stored[change.Job] = p
+		}
+		f.BatchStored(f.now)
+	}
+}
+
+// TestRefusedProgressCostsItsJob guards against a job whose progress the store refuses, and
+// that keeps the progress of all jobs, and the renewal in the same write, from being stored
+// (review/7). Cases: whether the store takes the end of such a job.
+func TestRefusedProgressCostsItsJob(t *testing.T) {
+	for name, takesEnds := range map[string]bool{"its end is stored": true, "its end is refused as well": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const count = 40
+			f := newFixture(1, 20)
+			f.registerWorkers()
+			for i := range count {
+				f.Accept(f.now, newJob(fmt.Sprint("j", i), 2, false))
+			}
+			starts := f.nextOrders(fleet.OrderStart)
+			f.confirmStarts(starts)
+			ended := map[core.WorkerID][]fleet.EndedRun{}
+			active := map[core.WorkerID][]fleet.ActiveRun{}
+			for _, o := range starts {
+				if o.Task.Index == 0 {
+					ended[o.Worker] = append(ended[o.Worker], doneEnd(uint64(len(ended[o.Worker])+1), o)...)
+				} else {
+					active[o.Worker] = append(active[o.Worker], fleet.ActiveRun{Task: o.Task, Run: o.Run})
+				}
+			}
+			for _, w := range f.workers {
+				f.heartbeat(w, active[w.ID()], ended[w.ID()])
+			}
+			refused := core.NewSet[core.JobID]("j3", "j17")
+			stored, refusals := f.writeRows(refused, takesEnds)
+			is.Equal(refusals, 1) // the renewal goes through between two refusals
+			for i := range count {
+				id := core.JobID(fmt.Sprint("j", i))
+				p := stored[id]
+				switch {
+				case !refused.Has(id):
+					is.Equal(p.CountDone(0, 2), 1)
+					is.Equal(p.State, jobs.State(""))
+				case takesEnds:
+					is.Equal(p.State, jobs.Failed)
+				default:
+					is.Equal(p.Job, core.JobID("")) // nothing of it is stored
+				}
+			}
+			is.True(f.Counts().Rejected >= 2)
+			is.True(len(f.decisionsOf(fleet.EventRejected)) >= 2)
+			// The ends on all workers can be acknowledged.
+			for _, w := range f.workers {
+				f.heartbeat(w, active[w.ID()], ended[w.ID()])
+			}
+			for _, o := range f.nextOrders(fleet.OrderHeartbeat) {
+				is.Equal(int(o.AckedEnd), len(ended[o.Worker]))
+			}
+		})
+	}
+}
+
+// TestRandomRefusals plays TestRandomFaults with a store that refuses the progress of one job in
+// eight: these fail or complete, and no other job is held up. Each case has its own random seed.
+func TestRandomRefusals(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, seed, 4, core.Resources{})
+			h.cutLists(seed)
+			h.lossRate, h.delayRate = 0.05*h.rng.Float64(), h.rng.Float64()
+			h.refused = core.Set[core.JobID]{}
+			const jobCount, faultyTicks, calmTicks = 24, 700, 3500
+			for i := range faultyTicks {
+				if i%28 == 0 && i/28 < jobCount {
+					spec := h.randomJob(i / 28)
+					if i/28%8 == 3 {
+						h.refused.Add(spec.ID)
+					}
+					h.submit(spec)
+				}
+				h.injectFault()
+				h.tick()
+			}
+			h.endFaults()
+			for range calmTicks {
+				h.tick()
+			}
+			for id := range h.specs {
+				state := h.storedProgress[id].State
+				if state != jobs.Completed && (state != jobs.Failed || !h.refused.Has(id)) {
+					h.logState()
+					t.Errorf("job %s is %q", id, state)
+				}
+			}
+		})
+	}
+}
+
 // TestAttemptsAcrossOwners guards against failed runs that a change of owner forgets, or counts
 // twice, now that they are stored in pages: a wide job, each task of which fails under each of
 // three owners. The third failure ends it.
--- a/core/fleet/decision.go
+++ b/core/fleet/decision.go
@@ -9,6 +9,8 @@
 // Counts are running totals for metrics.
 type Counts struct {
 	Starts, Refused, Unanswered, Ends, Failures, Cuts, Lapses, Stops, Asks uint64
+	// Rejected counts the jobs whose progress the store does not take.
+	Rejected uint64
 }
 
 // Events of decisions that link the orders of several owners.
@@ -24,6 +26,8 @@
 	// EventReadAgain means that a job has come in from a state that may be older than its
 	// end.
 	EventReadAgain = "job has come in again; reading its rows"
+	// EventRejected means that the store does not take the progress of a job.
+	EventRejected = "progress cannot be stored"
 )
 
 // Decision is one decision for the log.
--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -35,6 +35,8 @@
 	progress                     jobs.Progress
 	// dirtyPages holds the pages of failed runs in progress that must be stored.
 	dirtyPages core.Set[int]
+	// dirtySince is the number of the oldest change that is not in a batch.
+	dirtySince uint64
 	// seq numbers the jobs in the order in which this scheduler has added them.
 	seq        uint64
 	acceptedAt time.Time
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -96,6 +96,8 @@
 	feedPaused bool
 	// deleted holds the jobs whose rows have been deleted after their end.
 	deleted core.Set[core.JobID]
+	// refused holds the jobs of which the store takes no progress but the end.
+	refused core.Set[core.JobID]
 	// list returns the list of workers that an owner reads, or false if it cannot be
 	// read.
 	list func() (fleet.WorkerList, bool)
@@ -388,6 +390,11 @@
 			o.stopped = true
 			return
 		}
+		if h.refuses(o.batch) {
+			o.scheduler.BatchRefused(h.nowOf(o))
+			h.sendBatch(o)
+			return
+		}
 		h.storeProgress(o.batch)
 		h.recordedAt = h.now
 		o.scheduler.Renewed(o.sentAt.Add(o.skew))
@@ -397,6 +404,11 @@
 			o.scheduler.RosterStored(o.roster, o.rosterVersion)
 		}
 	}
+	h.sendBatch(o)
+}
+
+// sendBatch sends the next write of an owner.
+func (h *harness) sendBatch(o *simOwner) {
 	o.batch, o.roster = o.scheduler.Batch(), nil
 	if v := o.scheduler.RosterVersion(); v != o.rosterVersion {
 		o.roster, o.rosterVersion = o.scheduler.Roster()
@@ -415,6 +427,12 @@
 	}
 }
 
+// refuses reports whether the store takes none of the changes, since one is of a job whose
+// progress it refuses.
+func (h *harness) refuses(changes []jobs.Progress) bool {
+	return slices.ContainsFunc(changes, func(p jobs.Progress) bool { return h.refused.Has(p.Job) && p.State == "" })
+}
+
 // TestNoFaults checks that all jobs complete without faults.
 func TestNoFaults(t *testing.T) {
 	is := is.New(t)
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -118,9 +118,11 @@
 	allReported bool
 
 	// dirty holds the jobs whose progress must be stored, inFlight those in the
-	// batch whose outcome is not known yet.
-	dirty    map[core.JobID]*Job
-	inFlight []inFlightRow
+	// batch whose outcome is not known yet. While the store refuses a batch for what it
+	// holds, isolation finds the job.
+	dirty     map[core.JobID]*Job
+	inFlight  []inFlightRow
+	isolation isolation
 	// changeSeq numbers the changes of progress. Those up to storedSeq are in
 	// the store; those up to inFlightSeq will be once the batch in flight is
 	// stored.
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -30,7 +30,7 @@
 func (meter) Counts(c fleet.Counts) {
 	for name, n := range map[string]uint64{
 		"starts": c.Starts, "refused": c.Refused, "unanswered": c.Unanswered, "ends": c.Ends, "failures": c.Failures,
-		"lapses": c.Lapses, "stops": c.Stops, "asks": c.Asks,
+		"lapses": c.Lapses, "stops": c.Stops, "asks": c.Asks, "rejected": c.Rejected,
 	} {
 		metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_board_%s_total", name)).Set(n)
 	}
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -200,16 +200,19 @@
 	}
 	next, version := o.election.NextRecord(now)
 	write := record.OwnerWrite{Record: next, Version: version}
+	isolating := o.scheduler != nil && o.scheduler.Isolating()
 	if o.scheduler != nil {
 		write.Record.Held = o.scheduler.Held(now)
 		write.Progress = o.scheduler.Batch()
-		write.Roster = o.rosterToStore
-		if len(write.Progress)+len(o.progressToDelete) <= maxProgressRows {
+		if !isolating {
+			write.Roster = o.rosterToStore
+		}
+		if !isolating && len(write.Progress)+len(o.progressToDelete) <= maxProgressRows {
 			write.Deletes = o.progressToDelete
 		}
 	}
 	hasRows := len(write.Progress) > 0 || len(write.Deletes) > 0 || write.Roster != nil
-	confirms := o.scheduler != nil && o.scheduler.WantsConfirmation()
+	confirms := isolating || o.scheduler != nil && o.scheduler.WantsConfirmation()
 	if !claiming && !hasRows && !confirms && now.Sub(o.lastWrite) < elect.RenewInterval {
 		return
 	}
@@ -260,6 +263,9 @@
 		o.log.WithError(err).Warn("ownership record has changed")
 		o.election.WriteContested(now)
 		o.nextRecordRead = now
+	case record.Rejected(err):
+		o.handleRejected(now, write, sameEpoch, err)
+		return
 	case record.Refused(err):
 		o.log.WithError(err).Warn("store refused the owner's write")
 		o.election.WriteRefused()
@@ -276,6 +282,26 @@
 	}
 }
 
+// handleRejected handles a write that the store does not take for what it holds. The next one
+// holds the ownership record alone, which is renewed that way whatever the rows hold.
+func (o *Owner) handleRejected(now time.Time, write record.OwnerWrite, sameEpoch bool, err error) {
+	rows := len(write.Progress) + len(write.Deletes) + len(write.Roster)
+	o.log.WithError(err).WithFields(logrus.Fields{"jobs": len(write.Progress), "deletes": len(write.Deletes), "workers": len(write.Roster)}).Error("store does not take the owner's write")
+	if record.Refused(err) {
+		o.election.WriteRefused()
+	} else {
+		// A part of it has taken effect.
+		o.election.WriteUnknown()
+		o.nextRecordRead = now
+	}
+	if rows == 0 {
+		o.nextWrite = now.Add(retryInterval)
+	}
+	if sameEpoch {
+		o.scheduler.BatchRefused(now)
+	}
+}
+
 // handleRosterStored handles the write of a roster, nil if the write held none. If
 // the roster has changed since, rosterToStore keeps the newer one.
 func (o *Owner) handleRosterStored(roster []fleet.RosterEntry, version uint64) {
@@ -433,7 +459,7 @@
 	o.recordWriteInFlight = true
 	o.discardScheduler("the process is stopping")
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		_, err := guard.Call(func() (table.WriteResult, error) { return o.records.Write(ctx, write) })
+		_, err := o.writeVacated(ctx, write)
 		return func(o *Owner, _ time.Time) {
 			o.recordWriteInFlight = false
 			if err != nil {
--- a/io/owner/lost_test.go
+++ b/io/owner/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -50,8 +51,11 @@
 	}
 }
 
-func (l *lossyDeps) start(t *testing.T) *owner.Owner {
-	return startOwner(t, l, "a", policy.New(1,
+func (l *lossyDeps) start(t *testing.T) *owner.Owner { return l.startWith(t, l) }
+
+// startWith starts an owner with dependencies that embed l.
+func (l *lossyDeps) startWith(t *testing.T, deps allDeps) *owner.Owner {
+	return startOwner(t, deps, "a", policy.New(1,
 		[]policy.Queue{{Name: "q", Host: "h", Prefix: "/", Service: "s", Attempts: 3, Slowdown: 2, Latency: time.Second}},
 		[]policy.Team{{Name: "t", Weight: 1}}, []policy.Service{{Name: "s"}}, 0), withHook(l.hook))
 }
@@ -143,14 +147,17 @@
 	}
 }
 
-// endRuns ends all runs on the worker as done.
-func (l *lossyDeps) endRuns() {
+// endRuns ends all runs on the worker as done, but for those of the given tasks.
+func (l *lossyDeps) endRuns(but ...jobs.TaskID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.active {
+	l.active = slices.DeleteFunc(l.active, func(a fleet.ActiveRun) bool {
+		if slices.Contains(but, a.Task) {
+			return false
+		}
 		l.ended = append(l.ended, fleet.EndedRun{Number: uint64(len(l.ended) + 1), Task: a.Task, Run: a.Run, Kind: fleet.EndDone, Reason: "done"})
-	}
-	l.active = nil
+		return true
+	})
 }
 
 // do changes the fakes.
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -37,7 +37,7 @@
 	o.discardScheduler(string(reason))
 	o.abandonLoad()
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
-		result, err := guard.Call(func() (table.WriteResult, error) { return o.records.Write(ctx, write) })
+		result, err := o.writeVacated(ctx, write)
 		return func(o *Owner, now time.Time) {
 			o.recordWriteInFlight = false
 			o.handleYield(now, vacated, result, err, log)
@@ -45,6 +45,18 @@
 	})
 }
 
+// writeVacated stores a vacated record with the last progress, or without it if the store does
+// not take that.
+func (o *Owner) writeVacated(ctx context.Context, write record.OwnerWrite) (table.WriteResult, error) {
+	store := func() (table.WriteResult, error) { return o.records.Write(ctx, write) }
+	result, err := guard.Call(store)
+	if record.Rejected(err) && record.Refused(err) && len(write.Progress) > 0 {
+		write.Progress = nil
+		return guard.Call(store)
+	}
+	return result, err
+}
+
 // handleYield handles the outcome of the write of a vacated record.
 func (o *Owner) handleYield(now time.Time, vacated elect.Record, result table.WriteResult, err error, log *logrus.Entry) {
 	o.nextRecordRead = now
--- a/io/record/failed_test.go
+++ b/io/record/failed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"testing"
 
@@ -133,3 +134,30 @@
 		})
 	}
 }
+
+// TestRowTooLarge guards against a write that the store refuses since a row is too large: it must
+// be found before the call, and the error must name the job.
+func TestRowTooLarge(t *testing.T) {
+	is := is.New(t)
+	tbl := newFakeTable()
+	s := startStore(t, tbl)
+	_, err := writeProgress(s, table.WriteResult{}, jobs.Progress{Job: "good", Done: []byte{1}}, jobs.Progress{Job: "j", Done: make([]byte, 64<<10)})
+	var size *record.RowSizeError
+	is.True(errors.As(err, &size))
+	is.Equal(size.Job, core.JobID("j"))
+	is.True(record.Rejected(err) && record.Refused(err))
+	is.Equal(tbl.writes, 0)
+}
+
+// TestRejected checks which failures of a write mean that the store does not take what it holds.
+func TestRejected(t *testing.T) {
+	is := is.New(t)
+	for status, want := range map[int]bool{0: false, 400: true, 403: true, 413: true, 408: false, 429: false, 500: false, 503: false} {
+		err := error(&table.RefusedError{Status: status})
+		is.Equal(record.Rejected(err), want)
+		is.True(record.Refused(err))
+		err = &table.UnansweredError{Err: err} // a later transaction of the write
+		is.Equal(record.Rejected(err), want)
+		is.True(!record.Refused(err))
+	}
+}
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -113,10 +113,35 @@
 	return r
 }
 
+// RowSizeError reports a row that has not been written, since its value is larger than the
+// store takes. The other rows of the write have not been written either.
+type RowSizeError struct {
+	// Job is the job whose progress the row holds, empty for another row.
+	Job core.JobID
+	// Name is the table and the name of the row, Bytes the size of its value.
+	Name  string
+	Bytes int
+}
+
+// Error implements error.
+func (e *RowSizeError) Error() string {
+	return fmt.Sprintf("%s takes %d bytes in the store; the limit is %d", e.Name, e.Bytes, maxRowBytes)
+}
+
 // Refused reports whether err means that a call certainly had no effect.
 func Refused(err error) bool {
 	var refused *table.RefusedError
-	return errors.As(err, &refused)
+	var unanswered *table.UnansweredError
+	var size *RowSizeError
+	return errors.As(err, &size) || errors.As(err, &refused) && !errors.As(err, &unanswered)
+}
+
+// Rejected reports whether err means that the store does not take what a write holds, now or
+// later. If Refused does not report it as well, a part of the write has taken effect.
+func Rejected(err error) bool {
+	var refused *table.RefusedError
+	var size *RowSizeError
+	return errors.As(err, &size) || errors.As(err, &refused) && refused.IsFinal()
 }
 
 func partOf(id core.JobID) int { return int(xxhash.Sum64String(string(id)) % jobParts) }
--- a/io/record/write.go
+++ b/io/record/write.go
@@ -39,7 +39,7 @@
 // Write stores a write of an owner on the condition that the ownership record has not
 // changed since w.Version. A write that is too large for one transaction takes several
 // in turn; each replaces the ownership record, and after an error some of them may
-// have taken effect.
+// have taken effect. After a RowSizeError nothing has been sent.
 func (s *Store) Write(ctx context.Context, w OwnerWrite) (table.WriteResult, error) {
 	rows := map[table.Key]any{}
 	var deletes []table.Key
@@ -110,6 +110,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(p.Val) > maxRowBytes {
+			return nil, &RowSizeError{Job: jobOfProgress(k), Name: k.Table + "/" + k.Name, Bytes: len(p.Val)}
+		}
 		next(entrySize(p))
 		txn.Puts = append(txn.Puts, p)
 	}
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -100,6 +100,13 @@
 	Err    error
 }
 
+// IsFinal reports whether the table would refuse the same call again.
+func (e *RefusedError) IsFinal() bool {
+	const firstClientError, firstServerError = 400, 500
+	const requestTimeout, tooManyRequests = 408, 429
+	return e.Status >= firstClientError && e.Status < firstServerError && e.Status != requestTimeout && e.Status != tooManyRequests
+}
+
 // Error implements error.
 func (e *RefusedError) Error() string {
 	if e.Err != nil {
