--- a/core/fleet/decision.go
+++ b/core/fleet/decision.go
@@ -26,6 +26,10 @@
 	// EventReadAgain means that a job has come in from a state that may be older than its
 	// end.
 	EventReadAgain = "job has come in again; reading its rows"
+	// EventUnnamed means that the configuration does not name a queue with jobs any more, and
+	// EventNamed that it does again.
+	EventUnnamed = "queue left the configuration; its jobs go on"
+	EventNamed   = "queue is in the configuration again"
 	// EventRejected means that the store does not take the progress of a job.
 	EventRejected = "progress cannot be stored"
 )
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -66,7 +66,9 @@
 	// tasks in memory. Due is when the next one becomes due, empty if there is none.
 	Left, Built int
 	Due         string `json:",omitempty"`
-	Phases      []PhaseDump
+	// Unnamed is set while the configuration does not name the job's queue.
+	Unnamed bool `json:",omitempty"`
+	Phases  []PhaseDump
 }
 
 // PhaseDump is the state of one open phase of a job.
@@ -111,7 +113,7 @@
 }
 
 func (j *Job) dump() JobDump {
-	out := JobDump{Job: j.Spec.ID, Team: j.Spec.Team, Queue: j.Spec.Queue, State: jobChart.Name(j.state), Age: j.scheduler.now.Sub(j.acceptedAt).Round(time.Millisecond).String(), Left: j.occurrencesLeft, Built: len(j.occurrences)}
+	out := JobDump{Job: j.Spec.ID, Team: j.Spec.Team, Queue: j.Spec.Queue, State: jobChart.Name(j.state), Age: j.scheduler.now.Sub(j.acceptedAt).Round(time.Millisecond).String(), Left: j.occurrencesLeft, Built: len(j.occurrences), Unnamed: j.scheduler.policy.Queues[j.Spec.Queue] == nil}
 	if j.next < j.Spec.Occurrences() && !j.nextDue.IsZero() {
 		out.Due = j.nextDue.UTC().Format(time.RFC3339)
 	}
--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -8,6 +8,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/chart"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
 )
 
 // A job that ends later than usefulFactor times the time allowed to it is worth
@@ -43,6 +44,11 @@
 	// A job that ends after deadline is late; one that ends after usefulUntil
 	// is worth nothing to its client. Both change with the policy.
 	deadline, usefulUntil time.Time
+	// lastQueue and lastLimit are the policy of the queue and the limit of the team that hold
+	// while the configuration does not name them: those of the last version that did, as far as this
+	// scheduler knows, else those of the job's terms. LastQueue is nil if neither is known.
+	lastQueue *policy.Queue
+	lastLimit core.Resources
 	// waitLoggedAt is when it was last logged that an occurrence waits for memory.
 	waitLoggedAt time.Time
 	// exceedsShare is set if the team submitted the job in excess of its share
@@ -60,6 +66,9 @@
 	if j.acceptedAt.IsZero() || j.acceptedAt.After(s.now) {
 		j.acceptedAt = s.now
 	}
+	if t := spec.Terms; t != nil {
+		j.lastQueue, j.lastLimit = t.QueueOf(spec.Queue), t.Limit
+	}
 	j.exceedsShare = s.exceedsShare(spec.Team, j.acceptedAt)
 	j.setDeadlines()
 	s.jobs[spec.ID] = j
@@ -170,7 +179,7 @@
 // queue.
 func (j *Job) setDeadlines() {
 	j.deadline, j.usefulUntil = j.acceptedAt, j.acceptedAt
-	q := j.scheduler.policy.Queues[j.Spec.Queue]
+	q := j.queue()
 	if q == nil {
 		return
 	}
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -172,13 +172,20 @@
 // Task implements model.Tasks.
 func (h *harness) Task(id jobs.TaskID) model.TaskSpec {
 	p := h.specs[id.Job].Phases[id.Phase]
-	s := model.TaskSpec{Need: p.Need, Work: p.Estimate, Gang: 1, Fails: p.Image == failingImage}
+	s := model.TaskSpec{Need: p.Need, Work: p.Estimate, Gang: 1, Fails: p.Image == failingImage || p.Image == flakyImage && !h.hasFailed(id)}
 	if p.Gang {
 		s.Gang = p.Count
 	}
 	return s
 }
 
+// hasFailed reports whether a run of the task has failed.
+func (h *harness) hasFailed(id jobs.TaskID) bool {
+	return slices.ContainsFunc(h.workers, func(w *model.Worker) bool {
+		return slices.ContainsFunc(w.Log, func(r *model.RunRecord) bool { return r.Task == id && r.Kind == fleet.EndFailed })
+	})
+}
+
 // Present implements model.Tasks.
 func (h *harness) Present(id jobs.PhaseID, run uint64) int {
 	n := 0
--- a/core/fleet/network_test.go
+++ b/core/fleet/network_test.go
@@ -15,6 +15,8 @@
 const (
 	// failingImage names the program of tasks that fail in each run.
 	failingImage = "fails"
+	// flakyImage names that of tasks whose first run fails.
+	flakyImage = "flaky"
 	// storeTimeout and orderTimeout are how long an owner waits for an answer of the store
 	// or of a worker, beyond the time that the worker may delay it.
 	storeTimeout = time.Second
--- a/core/fleet/phase.go
+++ b/core/fleet/phase.go
@@ -156,14 +156,6 @@
 	return n
 }
 
-// maxAttempts returns how many failed runs of a task fail the job.
-func (p *phase) maxAttempts() int {
-	if q := p.queue(); q != nil {
-		return max(q.Attempts, 1)
-	}
-	return 1
-}
-
 // nextRun returns the number of the run after last of a task or gang.
 func (p *phase) nextRun(last uint64) uint64 {
 	return max(last+1, uint64(max(p.job.scheduler.epoch, 1)-1)<<runNumberBits+1)
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -34,6 +34,8 @@
 	// memoryReason and startsReason say why a phase waits.
 	memoryReason = "the team's jobs take up the owner's memory"
 	startsReason = "too many starts of the team are in flight"
+	// unroutedReason says why no task of a job starts.
+	unroutedReason = "the configuration names neither the queue nor its service"
 	// waitLogDelay is how long a phase waits before the reason is logged,
 	// waitLogInterval the time between two such lines.
 	waitLogDelay    = time.Second
@@ -150,7 +152,7 @@
 }
 
 // queue returns the policy of the phase's queue, nil if there is none.
-func (p *phase) queue() *policy.Queue { return p.job.scheduler.policy.Queues[p.job.Spec.Queue] }
+func (p *phase) queue() *policy.Queue { return p.job.queue() }
 
 // slotsOn returns how many tasks of the phase fit into the free room of a
 // worker.
@@ -188,15 +190,12 @@
 
 // withinLimit reports whether the phase's team may run n more tasks.
 func (s *Scheduler) withinLimit(p *phase, need core.Resources, n int) bool {
-	team := s.policy.Teams[p.job.Spec.Team]
-	if team == nil {
-		return true
-	}
+	limit := p.job.teamLimit()
 	// Runs of an earlier owner that are not known yet cannot exceed the capacity
 	// of the workers that have not reported.
 	used := s.used[p.job.Spec.Team].Add(s.unresolvedNeed[p.job.Spec.Team].Min(s.unreportedCapacity))
 	for _, d := range [][3]int64{
-		{need.Cores, used.Cores, team.Limit.Cores}, {need.Memory, used.Memory, team.Limit.Memory}, {need.Accel, used.Accel, team.Limit.Accel},
+		{need.Cores, used.Cores, limit.Cores}, {need.Memory, used.Memory, limit.Memory}, {need.Accel, used.Accel, limit.Accel},
 	} {
 		if d[2] > 0 && d[0] > 0 && d[1]+int64(n)*d[0] > d[2] {
 			return false
@@ -292,6 +291,8 @@
 		return "previous run of the gang has not ended"
 	case p.spec.Gang && !p.verified():
 		return unverifiedReason
+	case !p.job.isRouted():
+		return unroutedReason
 	case !s.withinLimit(p, p.need(), p.minStartCount()):
 		return "team is at its limit"
 	}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -214,14 +214,16 @@
 	s.resizeBudgets()
 }
 
-// SetPolicy replaces the policy and recomputes the deadlines of the jobs that
-// have not ended.
+// SetPolicy replaces the policy, and recomputes the deadlines of the jobs that have not ended
+// and whether they have failed.
 func (s *Scheduler) SetPolicy(p *policy.Policy) {
+	old := s.policy
 	s.policy = p
 	s.resizeBudgets()
+	s.logUnnamed(old)
 	for _, j := range s.jobs {
 		if !j.ended() {
-			j.setDeadlines()
+			j.setPolicy(old)
 		}
 	}
 	s.needsPlacement = true
@@ -338,6 +340,7 @@
 		s.adoptUnknownRuns(j)
 		s.addDue(j)
 		j.completeIfDone()
+		j.failIfSpent()
 		if p != nil && p.cancelled {
 			j.cancel()
 		}
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -17,6 +17,8 @@
 	*fleet.Scheduler
 	now     time.Time
 	workers []fleet.WorkerInfo
+	// ends is the number of the newest end that failStarted has listed.
+	ends uint64
 }
 
 // newScheduler returns a scheduler without jobs and workers, of an owner that has claimed a
--- a/core/fleet/task.go
+++ b/core/fleet/task.go
@@ -210,7 +210,7 @@
 	p.job.scheduler.counts.Failures++
 	p.job.dirtyPages.Add(jobs.PageOf(position))
 	p.job.markDirty()
-	if !p.spec.LongRunning && p.job.progress.CountFailedRuns(position) >= p.maxAttempts() {
+	if !p.spec.LongRunning && p.job.progress.CountFailedRuns(position) >= p.job.maxAttempts() {
 		p.job.fail()
 	}
 }
--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -97,6 +97,8 @@
 	// FirstEpoch is the epoch of the first owner that may start tasks of the job: the
 	// VM that accepted the job knew that owner before it stored the job.
 	FirstEpoch core.Epoch `json:"From,omitempty"`
+	// Terms are nil in jobs of earlier builds.
+	Terms *Terms `json:",omitempty"`
 }
 
 // Validate reports why a job cannot be accepted.
@@ -168,6 +170,9 @@
 // the tasks that run.
 func (s *Spec) Bytes() int64 {
 	n := jobBytes + len(s.Payload) + len(s.ID) + len(s.Team) + len(s.Queue) + s.TasksPerOccurrence()*s.Occurrences()/8
+	if s.Terms != nil {
+		n += termsBytes + len(s.Terms.Service)
+	}
 	for _, p := range s.Phases {
 		n += phaseBytes + 8*len(p.After) + len(p.Label) + len(p.Rack) + len(p.Image)
 	}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -17,9 +17,9 @@
 	// Base is the duration of a call that names no worker; each worker named adds
 	// PerWorker.
 	Base      time.Duration
-	PerWorker time.Duration
+	PerWorker time.Duration `json:"Each"`
 	// TicketTTL is how long a ticket may be used after it was issued.
-	TicketTTL time.Duration
+	TicketTTL time.Duration `json:"Valid"`
 }
 
 // Cost returns the expected duration of a call that names n workers.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -249,8 +249,8 @@
 	return err
 }
 
-// Submit stores a job and notifies the owner. A nil error means that the job will be
-// run.
+// Submit stores a job, with the limit of its team in its terms, and notifies the owner. A nil
+// error means that the job will be run.
 func (e *Entry) Submit(ctx context.Context, spec jobs.Spec) error {
 	return e.track("submit", spec.ID, func() (string, error) {
 		if err := spec.Validate(); err != nil {
@@ -264,6 +264,9 @@
 		}
 		early := e.requestEarlyAdvice(&spec)
 		spec.FirstEpoch = core.Epoch(e.firstEpoch.Load())
+		if t := e.policy.Load().Teams[spec.Team]; t != nil && spec.Terms != nil {
+			spec.Terms.Limit = t.Limit
+		}
 		stored, err := e.records.Accept(ctx, spec)
 		if err != nil {
 			return "", err
--- a/io/record/format_test.go
+++ b/io/record/format_test.go
@@ -18,6 +18,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
 	"chicoryturn/io/record"
 	"chicoryturn/io/table"
 )
@@ -171,7 +172,7 @@
 	is.Equal(obs.Record, owner)
 	checkAllSet(t, loaded["full"].Phases[0])
 	checkAllSet(t, loaded["full"].Phases[1])
-	checkAllSet(t, loaded["full"])
+	checkAllSet(t, loaded["full"], termsSpec)                                                           // that build had no Terms
 	checkAllSet(t, snap.Progress["full"], jobs.Progress{OlderRuns: map[int]int{1: 1}, Pages: []int{1}}) // that build had no others, Pages is not stored
 	checkAllSet(t, snap.Roster[0].WorkerInfo)                                                           // that build had no other fields
 	checkAllSet(t, snap.Roster[1].WorkerInfo)
@@ -213,6 +214,32 @@
 	return rec
 }
 
+// termsSpec is a job with the terms that later builds have added, termsRow its row.
+var termsSpec = jobs.Spec{
+	ID: "j", Phases: []jobs.Phase{{Count: 1}},
+	Terms: &jobs.Terms{
+		Service: "svc-1", Priority: 1, Attempts: 2, Slowdown: 3, Latency: 4,
+		Advisor: &policy.Advisor{Base: 5, PerWorker: 6, TicketTTL: 7}, Limit: core.Resources{Cores: 8, Memory: 9, Accel: 10},
+	},
+}
+
+const termsRow = `{"ID":"j","Team":"","Queue":"","Text":"","Phases":[{"Count":1,"Need":{"Cores":0,"Memory":0,"Accel":0}}],"Sent":"0001-01-01T00:00:00Z",` +
+	`"Terms":{"Service":"svc-1","Priority":1,"Attempts":2,"Slowdown":3,"Latency":4,"Advisor":{"Base":5,"Each":6,"Valid":7},"Ceiling":{"Cores":8,"Memory":9,"Accel":10}}}`
+
+// TestTermsFormat guards against a change of how a job tells the terms of its queue.
+func TestTermsFormat(t *testing.T) {
+	is := is.New(t)
+	tbl := newFakeTable()
+	s := startStore(t, tbl)
+	is.NoErr(accept(context.Background(), s, termsSpec))
+	loaded, err := s.Jobs(context.Background(), []core.JobID{"j"})
+	is.NoErr(err)
+	is.Equal(loaded.Specs, []jobs.Spec{termsSpec})
+	for _, row := range tbl.rows {
+		is.Equal(string(row.Val), termsRow)
+	}
+}
+
 // TestHeldFormat guards against a change of how the ownership record tells what the accepted
 // jobs take, and how many owners have yielded.
 func TestHeldFormat(t *testing.T) {
