--- a/io/record/load.go
+++ b/io/record/load.go
@@ -307,9 +307,9 @@
 		for _, r := range p.Rows {
 			add(r)
 		}
-		if !p.More || len(p.Rows) == 0 {
-			return first, nil
+		var more bool
+		if in, more, err = p.Rest(in); err != nil || !more {
+			return first, err
 		}
-		in.From = p.Rows[len(p.Rows)-1].Name + "\x01"
 	}
 }
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -52,6 +52,29 @@
 	Now     time.Duration
 }
 
+// EmptyPageError reports a page that holds no rows although the range has more: where it goes
+// on is not known, and what follows must not count as absent.
+type EmptyPageError struct{ Table string }
+
+// Error implements error.
+func (e *EmptyPageError) Error() string {
+	return "a page of table " + e.Table + " has no rows, but more follow"
+}
+
+// Rest returns the part of a range that follows the page, and whether there is any. The error is
+// an EmptyPageError.
+func (p Page) Rest(r Range) (rest Range, more bool, err error) {
+	if !p.More {
+		return r, false, nil
+	}
+	if len(p.Rows) == 0 {
+		return r, false, &EmptyPageError{r.Table}
+	}
+	// A range includes From; the suffix makes it start after the last row.
+	r.From = p.Rows[len(p.Rows)-1].Name + "\x01"
+	return r, true, nil
+}
+
 // WriteResult is the result of an applied transaction.
 type WriteResult struct {
 	// Version is the version of the rows written, Now the store's monotonic
