--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -36,6 +36,12 @@
 	}
 }
 
+// Queued sets how many starts and stops wait for their turn.
+func (meter) Queued(total, longest int) {
+	metrics.GetOrCreateGauge("chicoryturn_orders_queued", nil).Set(float64(total))
+	metrics.GetOrCreateGauge("chicoryturn_orders_queued_one_worker", nil).Set(float64(longest))
+}
+
 // Record counts one write of the owner and its duration.
 func (meter) Record(rows int, took time.Duration) {
 	metrics.GetOrCreateCounter("chicoryturn_recorded_rows_total").Add(rows)
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -11,6 +11,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
+	"chicoryturn/core/lanes"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 	"chicoryturn/io/record"
@@ -161,6 +162,7 @@
 	o.log.WithFields(logrus.Fields{"epoch": o.scheduler.Epoch(), "because": reason, "confirmed": ageText(time.Since(o.scheduler.ConfirmedAt()))}).Warn("no longer the owner")
 	o.scheduler = nil
 	o.withdrawPermits()
+	o.lanes = lanes.New()
 	o.rosterToStore, o.rosterVersion, o.progressToDelete = nil, 0, nil
 	o.meter.SetOwning(false)
 	o.meter.Authority(0, 0)
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -8,13 +8,14 @@
 
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
+	"chicoryturn/core/lanes"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 )
 
 const (
-	// maxOrderAge is the longest time between the dispatch of an order and the beginning of
-	// its sending, including time during which the machine was suspended or the process
+	// maxOrderAge is the longest time between an order's turn and the beginning of its
+	// sending, including time during which the machine was suspended or the process
 	// was stopped. Goroutines start within a few ms, so an older order means that the
 	// process did not run and may have been replaced as the owner.
 	maxOrderAge = 300 * time.Millisecond
@@ -39,29 +40,62 @@
 	err         error
 }
 
-// dispatch sends each order on a separate goroutine. They were decided at the given boot time.
+// dispatch sends heartbeats and queues starts and stops, which were decided at the given boot
+// time.
 func (o *Owner) dispatch(orders []fleet.Order, decided time.Duration) {
-	dispatched := clock.BootTime()
 	for _, ord := range orders {
-		p := o.permitFor(ord, decided)
-		o.async(func(ctx context.Context) func(*Owner, time.Time) {
-			begins := clock.BootTime()
-			out := outcome{sentAt: time.Now(), delay: begins - decided, reply: fleet.ReplyNotSent}
-			if begins-dispatched > maxOrderAge {
-				return replyHandler(ord, p, nil, out)
-			}
-			var call *heartbeatCall
-			if ord.Kind == fleet.OrderHeartbeat {
-				var stop func()
-				ctx, call, stop = o.watchHeartbeat(ctx, ord)
-				defer stop()
-			}
-			o.send(ctx, ord, p, &out)
-			return replyHandler(ord, p, call, out)
-		})
+		o.permitOrder(ord, decided)
+		e := lanes.Entry{Order: ord, Decided: decided}
+		if ord.Kind == fleet.OrderHeartbeat {
+			o.launch(e, nil)
+		} else {
+			o.lanes.Add(e)
+		}
 	}
 }
 
+// sendQueued sends the orders whose turn has come. Those that no longer hold end unsent.
+func (o *Owner) sendQueued(now time.Time) {
+	for _, e := range o.lanes.Next(now) {
+		p := o.permits[e.Task]
+		switch {
+		case e.Kind == fleet.OrderStop:
+			o.launch(e, nil)
+		case p == nil || p.run != e.Run || p.used.Load():
+			out := outcome{sentAt: now, delay: clock.BootTime() - e.Decided, reply: fleet.ReplyNotSent, err: &WithdrawnError{}}
+			replyHandler(e.Order, p, nil, out)(o, now)
+		default:
+			o.launch(e, p)
+		}
+	}
+}
+
+// launch sends an order on a goroutine of its own. P is the permit of a start.
+func (o *Owner) launch(e lanes.Entry, p *permit) {
+	launched := clock.BootTime()
+	o.async(func(ctx context.Context) func(*Owner, time.Time) {
+		begins := clock.BootTime()
+		out := outcome{sentAt: time.Now(), delay: begins - e.Decided, reply: fleet.ReplyNotSent}
+		if begins-launched > maxOrderAge {
+			return replyHandler(e.Order, p, nil, out)
+		}
+		var call *heartbeatCall
+		if e.Kind == fleet.OrderHeartbeat {
+			var stop func()
+			ctx, call, stop = o.watchHeartbeat(ctx, e.Order)
+			defer stop()
+		}
+		o.send(ctx, e.Order, p, &out)
+		return replyHandler(e.Order, p, call, out)
+	})
+}
+
+// WithdrawnError reports a start that was withdrawn while it was queued.
+type WithdrawnError struct{}
+
+// Error implements error.
+func (*WithdrawnError) Error() string { return "withdrawn before its turn" }
+
 // send sends an order and fills in its outcome. P is the permit of a start.
 func (o *Owner) send(ctx context.Context, ord fleet.Order, p *permit, out *outcome) {
 	// A panic leaves open what the worker does.
@@ -109,6 +143,9 @@
 		if !isCurrent {
 			return
 		}
+		if ord.Kind != fleet.OrderHeartbeat {
+			o.lanes.Done(ord, out.reply, out.took)
+		}
 		if out.reply == fleet.ReplyOtherIncarnation {
 			o.scheduler.IncarnationEnded(now, ord.Info)
 		}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -15,6 +15,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/lanes"
 	"chicoryturn/core/policy"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
@@ -91,6 +92,9 @@
 	// Authority sets the age of the last confirmation of the ownership record and how
 	// many workers of earlier owners this owner still waits for; 0 on other processes.
 	Authority(recordAge time.Duration, unreached int)
+	// Queued records how many starts and stops wait for their turn, and for one worker at
+	// most.
+	Queued(total, longest int)
 	// Mailbox records how long the oldest message of a burst has waited for the control
 	// goroutine, and how many messages the mailbox held then.
 	Mailbox(lag time.Duration, queued int)
@@ -119,6 +123,8 @@
 	yieldedToEpoch core.Epoch
 	// permits holds the permits of the starts that have not been answered.
 	permits map[jobs.TaskID]*permit
+	// lanes holds the starts and stops that have not ended.
+	lanes *lanes.Lanes
 	// late holds, for each worker, the first heartbeat that counts as failed and may still be
 	// answered.
 	late  map[core.WorkerID]*heartbeatCall
@@ -206,7 +212,7 @@
 func New(l *loop.Loop, deps Deps, self elect.Record, claimDelay time.Duration, limits fleet.Limits, log *logrus.Entry, opts ...Option) *Owner {
 	o := &Owner{
 		loop: l, records: deps.Records, workers: deps.Workers, lister: deps.Lister, meter: deps.Meter, log: log, limits: limits,
-		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), permits: map[jobs.TaskID]*permit{}, late: map[core.WorkerID]*heartbeatCall{}, changesInterval: maxChangesInterval,
+		election: elect.New(self, claimDelay), claimDelay: claimDelay, peers: newPeers(), permits: map[jobs.TaskID]*permit{}, lanes: lanes.New(), late: map[core.WorkerID]*heartbeatCall{}, changesInterval: maxChangesInterval,
 		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {}, abandonLoad: func() {},
 		drained: make(chan struct{}),
 	}
@@ -310,6 +316,7 @@
 		if !now.Before(o.nextTick) {
 			o.tick(now, decided)
 		}
+		o.sendQueued(now)
 		next = o.nextTick.Add(time.Millisecond)
 	}
 	o.writeRecord(now)
@@ -333,6 +340,7 @@
 	o.meter.Placement(time.Since(began))
 	o.meter.Counts(o.scheduler.Counts())
 	o.meter.Memory(o.scheduler.MemoryUse())
+	o.meter.Queued(o.lanes.Queued())
 	o.logDecisions()
 	o.nextTick = next
 }
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -93,6 +93,7 @@
 func (*fakeDeps) Yield(elect.YieldReason)            {}
 func (*fakeDeps) Authority(time.Duration, int)       {}
 func (*fakeDeps) Mailbox(time.Duration, int)         {}
+func (*fakeDeps) Queued(int, int)                    {}
 
 // allDeps combines the dependencies of an owner.
 type allDeps interface {
--- a/io/owner/permit.go
+++ b/io/owner/permit.go
@@ -34,22 +34,16 @@
 // withdraw reports whether the start has certainly not been sent and will not be.
 func (p *permit) withdraw() bool { return p.used.CompareAndSwap(false, true) }
 
-// permitFor returns the permit of a start, and withdraws those of earlier starts of the task.
-// A stop of a run withdraws that run's. It returns nil for all orders but starts.
-func (o *Owner) permitFor(ord fleet.Order, decided time.Duration) *permit {
+// permitOrder gives a start its permit, and withdraws those of earlier starts of the task. A stop
+// of a run withdraws that run's.
+func (o *Owner) permitOrder(ord fleet.Order, decided time.Duration) {
 	last := o.permits[ord.Task]
-	switch {
-	case ord.Kind == fleet.OrderHeartbeat:
-		return nil
-	case last != nil && (ord.Kind == fleet.OrderStart || last.run == ord.Run):
+	if last != nil && (ord.Kind == fleet.OrderStart || ord.Kind == fleet.OrderStop && last.run == ord.Run) {
 		last.withdraw()
 	}
-	if ord.Kind != fleet.OrderStart {
-		return nil
+	if ord.Kind == fleet.OrderStart {
+		o.permits[ord.Task] = &permit{run: ord.Run, decided: decided}
 	}
-	p := &permit{run: ord.Run, decided: decided}
-	o.permits[ord.Task] = p
-	return p
 }
 
 // withdrawPermits withdraws all permits, as the process no longer owns the fleet.
--- a/io/owner/workers.go
+++ b/io/owner/workers.go
@@ -46,6 +46,7 @@
 			}
 			o.logUnusable(list.Unusable)
 			o.workerList, o.workerListAt = list, now
+			o.retainLanes()
 			o.nextWorkersRead = now.Add(o.workersReadDelay())
 			o.onWorkers(list.Workers)
 			if o.scheduler != nil {
@@ -57,6 +58,15 @@
 	})
 }
 
+// retainLanes forgets what is known of the way to workers that have left.
+func (o *Owner) retainLanes() {
+	listed := core.Set[core.WorkerID]{}
+	for _, w := range o.workerList.Workers {
+		listed.Add(w.ID())
+	}
+	o.lanes.Retain(listed)
+}
+
 // logUnusable logs the entries of the worker list that cannot be used, and why. An entry
 // is logged again only when the reason changes.
 func (o *Owner) logUnusable(entries []fleet.UnusableEntry) {
