--- a/io/record/roster.go
+++ b/io/record/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -13,9 +14,13 @@
 
 const (
 	// rosterName is the prefix of the names of the roster's rows. Each row holds up
-	// to rosterPageSize workers, since the value of a row is limited to 64 KiB.
+	// to rosterPageSize workers, and fewer if their texts are long.
 	rosterName     = "roster"
 	rosterPageSize = 64
+	// entryRunsBytes bounds what the tasks that an entry names while its worker is silent take,
+	// rosterRowBytes is what a row takes beside its entries.
+	entryRunsBytes = 600
+	rosterRowBytes = 64
 )
 
 func rosterKey(page int) table.Key {
@@ -68,15 +73,17 @@
 			added = append(added, w)
 		}
 	}
-	page := 0
+	page, bytes := 0, rosterBytes(rows[0]...)
 	for _, w := range added {
-		for page < len(rows) && len(rows[page]) >= rosterPageSize {
-			page++
-		}
-		if page == len(rows) {
-			rows = append(rows, nil)
+		size := rosterBytes(w) - rosterRowBytes
+		for len(rows[page]) >= rosterPageSize || len(rows[page]) > 0 && bytes+size > maxRowBytes {
+			if page++; page == len(rows) {
+				rows = append(rows, nil)
+			}
+			bytes = rosterBytes(rows[page]...)
 		}
 		rows[page] = append(rows[page], w)
+		bytes += size
 		p.pageOf[w.ID()] = page
 	}
 	for id := range p.pageOf {
@@ -97,6 +104,18 @@
 	return changed
 }
 
+// rosterBytes returns what a row with the given entries takes at most, also once they name tasks.
+func rosterBytes(entries ...fleet.RosterEntry) int {
+	n := rosterRowBytes
+	for _, e := range entries {
+		e.Runs = nil
+		// What cannot be encoded is found when the row is written.
+		text, _ := json.Marshal(e)
+		n += len(text) + entryRunsBytes
+	}
+	return n
+}
+
 // sameEntry reports whether two entries of the roster tell a later owner the same.
 func sameEntry(a, b fleet.RosterEntry) bool {
 	return a.ID() == b.ID() && a.Addr == b.Addr && a.Incarnation.Equal(b.Incarnation) && a.Since == b.Since && a.Silent == b.Silent && slices.Equal(a.Runs, b.Runs)
--- a/io/record/roster_test.go
+++ b/io/record/roster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +40,34 @@
 	}
 }
 
+// TestRosterOfLongTexts guards against a row of the roster that the store refuses, and with it each
+// write of the owner, since other writers have left entries with texts as long as they may be,
+// which JSON escapes. While the workers are silent, the entries name tasks as well.
+func TestRosterOfLongTexts(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := startStore(t, newFakeTable())
+	workers := rosterOf(numbersTo(200)...)
+	version := uint64(0)
+	for _, silent := range []bool{false, true} {
+		for i := range workers {
+			w := &workers[i]
+			w.Name = strings.Repeat("<", 190) + fmt.Sprintf("%010d", i)
+			w.Labels = []string{"a", strings.Repeat("<", 380)}
+			w.Rack = w.Labels[1]
+			if w.Silent = silent; silent {
+				w.Runs = []jobs.TaskID{{PhaseID: jobs.PhaseID{Job: "0123456789abcdef"}, Index: i}}
+			}
+		}
+		done, err := s.Write(ctx, record.OwnerWrite{Record: elect.Record{Holder: "x", Epoch: 1}, Version: version, Roster: workers})
+		is.NoErr(err)
+		version = done.Version
+	}
+	snapshot, err := s.Load(ctx, budget.New(0, 0))
+	is.NoErr(err)
+	is.Equal(len(snapshot.Roster), 200)
+}
+
 // rosterOf returns a roster of workers with the given numbers.
 func rosterOf(numbers ...int) []fleet.RosterEntry {
 	workers := []fleet.RosterEntry{}
