--- a/core/fleet/recovery.go
+++ b/core/fleet/recovery.go
@@ -113,10 +113,9 @@
 	return w.unreached() || w.hidesEnds || !w.blockedSince.IsZero()
 }
 
-// noteListLength notes whether runs of earlier owners may have ended on the worker that no
-// list has named yet. It is called before the first answer of an incarnation is handled and
-// with each later one: what ends after the first answer was active in it or was started by
-// this owner.
+// noteListLength notes, before an answer is handled, whether runs of earlier owners may have
+// ended on the worker that no list has named yet. Only the first answer of an incarnation can
+// hide such ends: what ends later was active in it or was started by this owner.
 func (w *Worker) noteListLength(l RunLists) {
 	first := !l.Incarnation.Equal(w.incarnation)
 	switch {
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -58,10 +58,14 @@
 func (o *Owner) sendQueued(now time.Time) {
 	for _, e := range o.lanes.Next(now) {
 		p := o.permits[e.Task]
+		if p != nil && p.run != e.Run {
+			// It is that of another run.
+			p = nil
+		}
 		switch {
 		case e.Kind == fleet.OrderStop:
 			o.launch(e, nil)
-		case p == nil || p.run != e.Run || p.used.Load():
+		case p == nil || p.used.Load():
 			out := outcome{sentAt: now, delay: clock.BootTime() - e.Decided, reply: fleet.ReplyNotSent, err: &WithdrawnError{}}
 			replyHandler(e.Order, p, nil, out)(o, now)
 		default:
--- a/io/record/load.go
+++ b/io/record/load.go
@@ -134,9 +134,9 @@
 	}
 }
 
-// loadProgress reads the progress of all jobs with their failed runs. That of jobs that have not ended takes at
-// most limit bytes, 0 for any number; the others are in unread. Of jobs that have ended it
-// keeps the state alone, if there is a limit.
+// loadProgress reads the progress of all jobs with their failed runs. That of jobs that have
+// not ended takes at most limit bytes, 0 for any number; the others are in unread. Of jobs
+// that have ended it keeps the state alone, if there is a limit.
 func loadProgress(ctx context.Context, pages reader, out *Snapshot, limit int64) (unread core.Set[core.JobID], _ error) {
 	var mu sync.Mutex
 	used := int64(0)
