--- a/core/fleet/ends_test.go
+++ b/core/fleet/ends_test.go
@@ -17,6 +17,15 @@
 	f.HeartbeatAnswered(f.now, w.ID(), f.now, l)
 }
 
+// newSuccessor returns a new owner of two workers, which has loaded job j of one task.
+func newSuccessor() *fixture {
+	f := newFixture(2, 2)
+	f.takeOver(f.workers)
+	f.SetWorkers(f.now, f.list(f.workers))
+	f.RosterStored(f.Roster())
+	return f
+}
+
 // TestEndsBehindListAfterTakeover guards against a second run of a task whose end a worker has
 // not listed to a new owner yet, since it lists only so many ends at a time.
 func TestEndsBehindListAfterTakeover(t *testing.T) {
@@ -64,10 +73,7 @@
 // for it.
 func TestEndsBehindListOfLostWorker(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(2, 2)
-	f.takeOver(f.workers)
-	f.SetWorkers(f.now, f.list(f.workers))
-	f.RosterStored(f.Roster())
+	f := newSuccessor()
 	f.heartbeat(f.workers[1], nil, nil)
 	f.answer(f.workers[0], fleet.RunLists{More: true})
 	for range 30 {
@@ -86,10 +92,7 @@
 // not know yet: its run is listed as active, and then ends behind a list that is cut off.
 func TestUnknownRunEndsBehindList(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(2, 2)
-	f.takeOver(f.workers)
-	f.SetWorkers(f.now, f.list(f.workers))
-	f.RosterStored(f.Roster())
+	f := newSuccessor()
 	f.heartbeat(f.workers[0], []fleet.ActiveRun{{Task: newTaskID("unknown", 0), Run: 1}, {Task: newTaskID("j", 0), Run: 1}}, nil)
 	f.heartbeat(f.workers[1], nil, nil)
 	f.advance(100 * time.Millisecond)
