--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -453,40 +453,6 @@
 	h.checkCompleted(is, 20)
 }
 
-// playFaults plays lost and late orders, crashes, unreachable workers, and owners that go on
-// after they have been replaced, until all of it has long been over. It calls each in each tick,
-// with the next job now and then, else with nil.
-func (h *harness) playFaults(seed uint64, jobCount int, each func(tick int, next *jobs.Spec)) {
-	h.cutLists(seed)
-	h.lossRate, h.delayRate = 0.05*h.rng.Float64(), h.rng.Float64()
-	const faultyTicks, calmTicks = 700, 3500
-	for i := range faultyTicks {
-		var next *jobs.Spec
-		if i%28 == 0 && i/28 < jobCount {
-			spec := h.randomJob(i / 28)
-			next = &spec
-		}
-		each(i, next)
-		h.injectFault()
-		h.tick()
-	}
-	h.endFaults()
-	for range calmTicks {
-		h.tick()
-	}
-}
-
-// checkStates checks the stored state of each job.
-func (h *harness) checkStates(want func(spec jobs.Spec, state jobs.State) bool) {
-	h.t.Helper()
-	for id, spec := range h.specs {
-		if state := h.storedProgress[id].State; !want(spec, state) {
-			h.logState()
-			h.t.Errorf("job %s is %q", id, state)
-		}
-	}
-}
-
 // TestRandomFaults is playFaults with jobs that must all complete. Each case has its own random
 // seed.
 func TestRandomFaults(t *testing.T) {
