--- a/core/jobs/failed.go
+++ b/core/jobs/failed.go
@@ -12,7 +12,7 @@
 	// pageTasks is the number of consecutive tasks whose failed runs form a page.
 	pageTasks = 64
 	// maxFailedRuns bounds the failed runs of a task that are kept by number: in decimal
-	// digits those of a page take at most 43 KB.
+	// digits a page with them takes at most 45 KB.
 	maxFailedRuns = 32
 )
 
