Placement examines only the phases that may start

Cause: at each change all open phases were sorted, and for each of them all workers were examined, although the end of one run makes room on one worker. With 10,000 waiting jobs a tick took 7 to 82 ms, up to 1,000 times a second.

Change: a pass finds the workers with room once per need, leaves out the phases without room, tickets or a log line that is due, and orders the others in heaps by group, of which it drops the rest once the room is used up.

--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -108,6 +108,10 @@
 	}
 	if len(allowed) > 0 {
 		a.ticketsUntil = now.Add(ticketTTL)
+		if !p.isTicketed {
+			p.isTicketed = true
+			s.rooms.ticketed = append(s.rooms.ticketed, p)
+		}
 	}
 	s.boundAdvice(p.job.Spec.Team)
 	s.needsPlacement = true
@@ -162,8 +166,8 @@
 
 // advisor returns the policy of the queue's placement advisor, if it has one.
 func (p *phase) advisor() core.Option[policy.Advisor] {
-	if q := p.queue(); q != nil {
-		return q.Advisor
+	if g := p.group(); g != nil {
+		return g.queue.Advisor
 	}
 	return core.Option[policy.Advisor]{}
 }
@@ -180,49 +184,6 @@
 	Send(a AdviceRequest)
 }
 
-// AdviceRequests sends the advice requests that are worthwhile now, the most
-// urgent first. A request that would have to queue is not sent: by the time its
-// call begins, other work may be more urgent and other workers may have room.
-// Requests that are unlikely to let tasks start are sent while most VMs are
-// idle, and otherwise at most once per lowYieldInterval and phase.
-func (s *Scheduler) AdviceRequests(now time.Time, peers AdvicePeers) {
-	s.now = now
-	if !peers.HasCapacity(0) {
-		return
-	}
-	var lowYield []*phase
-	for _, p := range s.rankedPhases((*phase).mayRequestAdvice) {
-		advisor, ok := p.advisor().Get()
-		if !ok || !peers.HasCapacity(advisor.Base) {
-			continue
-		}
-		if workers := p.workersToRequest(advisor); len(workers) > 0 {
-			s.requestAdvice(peers, p, advisor, workers)
-			continue
-		}
-		p.advice.recheckAt = now.Add(recheckDelay)
-		lowYield = append(lowYield, p)
-	}
-	for _, p := range lowYield {
-		advisor, ok := p.advisor().Get()
-		intervalOver := now.Sub(p.openedAt) > lowYieldInterval && now.Sub(p.advice.lowYieldAt) > lowYieldInterval
-		if !ok || !peers.HasCapacity(advisor.Base) || !peers.MostlyIdle() && !intervalOver {
-			continue
-		}
-		if workers := p.lowYieldWorkers(advisor); len(workers) > 0 {
-			p.advice.lowYieldAt = now
-			s.requestAdvice(peers, p, advisor, workers)
-		}
-	}
-}
-
-// mayRequestAdvice reports whether it may be worthwhile to request advice for the phase now.
-func (p *phase) mayRequestAdvice() bool {
-	now := p.job.scheduler.now
-	isPending := !p.advice.requestedAt.IsZero() && now.Before(p.advice.lostAt)
-	return !isPending && !now.Before(p.advice.recheckAt) && p.startable() && p.job.isRouted()
-}
-
 func (s *Scheduler) requestAdvice(peers AdvicePeers, p *phase, advisor policy.Advisor, workers []core.WorkerID) {
 	p.advice.markRequested(s.now, advisor, len(workers))
 	s.counts.Asks++
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -59,16 +59,16 @@
 
 // adviceCandidates collects the workers that a request may name. For a gang it
 // prefers the workers with the most room, since each one named makes the call
-// longer; other phases leave large free room to the tasks that need it. The candidates are
-// valid until the next call.
-func (p *phase) adviceCandidates(advisor policy.Advisor) adviceCandidates {
+// longer; other phases leave large free room to the tasks that need it. It considers some
+// workers only. The candidates are valid until the next call.
+func (p *phase) adviceCandidates(advisor policy.Advisor, among []*Worker) adviceCandidates {
 	s := p.job.scheduler
 	need, queue := p.need(), p.queue()
 	// A ticket that expires before the call is answered cannot be combined with
 	// the tickets of its answer.
 	renewBefore := s.now.Add(ticketSlack + advisor.Cost(min(p.tasksWaiting, maxRequestWorkers)))
 	out := adviceCandidates{unnamed: s.scratch.unnamed[:0]}
-	for _, w := range s.sortedWorkers {
+	for _, w := range among {
 		if !p.canRunOn(w, queue) {
 			continue
 		}
@@ -119,10 +119,10 @@
 // likely to be needed. If one request is not expected to let enough tasks
 // start, but requests for all unnamed workers are, it names unnamed workers
 // only, to learn which of them are allowed. It returns none if no request is
-// worthwhile.
-func (p *phase) workersToRequest(advisor policy.Advisor) []core.WorkerID {
+// worthwhile. Among are the workers with room and maybe others.
+func (p *phase) workersToRequest(advisor policy.Advisor, among []*Worker) []core.WorkerID {
 	s := p.job.scheduler
-	candidates := p.adviceCandidates(advisor)
+	candidates := p.adviceCandidates(advisor, among)
 	if candidates.readySlots >= p.tasksWaiting || !s.withinLimit(p, p.need(), p.minStartCount()) {
 		return nil
 	}
@@ -157,7 +157,7 @@
 	case allowedSlots+unnamedSlots < required:
 		return nil
 	case requestSlots < required:
-		return candidates.firstUnnamed(maxRequestWorkers)
+		return p.adviceCandidates(advisor, s.sortedWorkers).firstUnnamed(maxRequestWorkers)
 	}
 	return append(expiring, unnamed...)
 }
@@ -165,12 +165,13 @@
 // lowYieldWorkers returns the workers for a request that is unlikely to let
 // tasks start, or none if the tasks need no request or it could not let any
 // start. If the advisor has not answered for the phase, it returns unnamed
-// workers, to learn which of them are allowed.
-func (p *phase) lowYieldWorkers(advisor policy.Advisor) []core.WorkerID {
-	candidates := p.adviceCandidates(advisor)
+// workers, to learn which of them are allowed. Among are the workers with room and maybe
+// others.
+func (p *phase) lowYieldWorkers(advisor policy.Advisor, among []*Worker) []core.WorkerID {
 	if !p.advice.received {
-		return candidates.firstUnnamed(maxRequestWorkers)
+		return p.adviceCandidates(advisor, p.job.scheduler.sortedWorkers).firstUnnamed(maxRequestWorkers)
 	}
+	candidates := p.adviceCandidates(advisor, among)
 	slots := candidates.readySlots
 	var workers []core.WorkerID
 	for _, list := range [][]adviceCandidate{candidates.expiring, candidates.unnamed} {
--- a/core/fleet/memory.go
+++ b/core/fleet/memory.go
@@ -78,7 +78,8 @@
 		return
 	}
 	s.adviceFreedAt[team] = s.now
-	for p := range s.openPhases {
+	for _, o := range s.open.phases {
+		p := o.phase
 		if p.job.Spec.Team == team && p.advice.ticketsUntil.Before(s.now) {
 			p.clearAdvice()
 		}
--- a/core/fleet/phase.go
+++ b/core/fleet/phase.go
@@ -33,6 +33,14 @@
 	// due.
 	isOpen   bool
 	openedAt time.Time
+	// listed is the position in the list of open phases, counted from 1; 0 if the phase is not
+	// in it.
+	listed int
+	// ownGroup is the phase's group if groupGeneration is that of the groups.
+	ownGroup        *group
+	groupGeneration uint64
+	// isTicketed is set while the phase is in the list of those with tickets.
+	isTicketed bool
 	// timeToEnd is the expected time from the phase's start to the job's end,
 	// computed at timeToEndAt.
 	timeToEnd   time.Duration
@@ -51,13 +59,13 @@
 
 func (p *phase) open() {
 	p.isOpen, p.openedAt = true, p.job.scheduler.now
-	p.job.scheduler.openPhases[p] = struct{}{}
+	p.job.scheduler.open.add(p)
 	p.job.scheduler.needsPlacement = true
 }
 
 // complete handles the end of the last task of the phase.
 func (p *phase) complete() {
-	delete(p.job.scheduler.openPhases, p)
+	p.job.scheduler.open.remove(p)
 	// The advice is the largest part of a phase's memory.
 	p.clearAdvice()
 	p.occurrence.phaseCompleted()
@@ -69,7 +77,7 @@
 	for _, t := range p.sortedTasks() {
 		t.fire(taskDrop)
 	}
-	delete(p.job.scheduler.openPhases, p)
+	p.job.scheduler.open.remove(p)
 	p.clearAdvice()
 }
 
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -49,6 +49,16 @@
 // orders heartbeats, repeats stops and starts the tasks that fit. It returns
 // when it must be called next.
 func (s *Scheduler) Tick(now time.Time) time.Time {
+	s.beginTick(now)
+	if s.needsPlacement && s.authority.acting {
+		s.needsPlacement = false
+		s.placeAll()
+	}
+	return now.Add(tickInterval)
+}
+
+// beginTick is the part of a tick before the placement.
+func (s *Scheduler) beginTick(now time.Time) {
 	s.now = now
 	s.checkLateness()
 	s.buildDue()
@@ -61,11 +71,6 @@
 	s.logUnreached()
 	s.orderHeartbeats()
 	s.repeatStops()
-	if s.needsPlacement && s.authority.acting {
-		s.needsPlacement = false
-		s.placeAll()
-	}
-	return now.Add(tickInterval)
 }
 
 // rankedPhase is a phase with its sort keys for placement.
@@ -79,48 +84,46 @@
 	latestStart time.Time
 }
 
-// rankedPhases returns the open phases with waiting tasks that are relevant, the most urgent
-// first: work that can still be on time before late work, then by the queue's
-// priority, then by the latest start that meets the deadline.
-func (s *Scheduler) rankedPhases(isRelevant func(*phase) bool) []*phase {
-	var ranked []rankedPhase
-	for p := range s.openPhases {
-		if p.tasksWaiting == 0 || !isRelevant(p) {
-			continue
-		}
-		r := rankedPhase{phase: p}
-		timeToEnd := s.expectedTimeToEnd(p)
-		timeToEnd += timeToEnd/marginDivisor + minMargin
-		switch {
-		case p.job.exceedsShare:
-			r.lateness = 2
-		case !s.now.Add(timeToEnd).After(p.job.deadline):
-		case !s.now.Add(timeToEnd).After(p.job.usefulUntil):
-			r.lateness = 1
-		default:
-			r.lateness = 2
-		}
-		r.latestStart = p.job.deadline.Add(-timeToEnd)
-		if q := p.queue(); q != nil {
-			r.priority = q.Priority
-		}
-		ranked = append(ranked, r)
+// rank returns the phase with its sort keys.
+func (s *Scheduler) rank(p *phase) rankedPhase {
+	r := rankedPhase{phase: p}
+	timeToEnd := s.expectedTimeToEnd(p)
+	timeToEnd += timeToEnd/marginDivisor + minMargin
+	switch end := s.now.Add(timeToEnd); {
+	case p.job.exceedsShare:
+		r.lateness = 2
+	case !end.After(p.job.deadline):
+	case !end.After(p.job.usefulUntil):
+		r.lateness = 1
+	default:
+		r.lateness = 2
+	}
+	r.latestStart = p.job.deadline.Add(-timeToEnd)
+	if g := p.group(); g != nil {
+		r.priority = g.queue.Priority
+	}
+	return r
+}
+
+// compare orders phases, the most urgent first: work that can still be on time before late
+// work, then by the queue's priority, then by the latest start that meets the deadline.
+func (r *rankedPhase) compare(o *rankedPhase) int {
+	if c := cmp.Compare(r.lateness, o.lateness); c != 0 {
+		return c
 	}
-	slices.SortFunc(ranked, func(x, y rankedPhase) int {
-		return cmp.Or(cmp.Compare(x.lateness, y.lateness), cmp.Compare(x.priority, y.priority),
-			x.latestStart.Compare(y.latestStart), cmp.Compare(x.phase.job.seq, y.phase.job.seq), cmp.Compare(x.phase.firstPosition, y.phase.firstPosition))
-	})
-	out := make([]*phase, len(ranked))
-	for i, r := range ranked {
-		out[i] = r.phase
+	if c := cmp.Compare(r.priority, o.priority); c != 0 {
+		return c
 	}
-	return out
+	if c := r.latestStart.Compare(o.latestStart); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(r.phase.job.seq, o.phase.job.seq), cmp.Compare(r.phase.firstPosition, o.phase.firstPosition))
 }
 
 // expectedTimeToEnd returns the expected time from the start of a phase to the
 // end of its job, along the critical path.
 func (s *Scheduler) expectedTimeToEnd(p *phase) time.Duration {
-	if !p.timeToEndAt.IsZero() && s.now.Sub(p.timeToEndAt) < timeToEndTTL {
+	if !s.isTimeToEndOld(p) {
 		return p.timeToEnd
 	}
 	phases := p.job.Spec.Phases
@@ -135,6 +138,11 @@
 	return p.timeToEnd
 }
 
+// isTimeToEndOld reports whether the phase's timeToEnd must be computed again.
+func (s *Scheduler) isTimeToEndOld(p *phase) bool {
+	return p.timeToEndAt.IsZero() || s.now.Sub(p.timeToEndAt) >= timeToEndTTL
+}
+
 // startable reports whether the phase has tasks that may be placed now. A gang
 // waits until no member of its last run holds room.
 func (p *phase) startable() bool {
@@ -148,7 +156,12 @@
 // free there. Its queue is q, nil if the policy has none.
 func (p *phase) canRunOn(w *Worker, q *policy.Queue) bool {
 	return q != nil && w.usable() && p.need().FitsIn(w.info.Capacity) && q.Service == w.info.Service &&
-		(p.spec.Label == "" || slices.Contains(w.info.Labels, p.spec.Label))
+		w.hasLabel(p.spec.Label)
+}
+
+// hasLabel reports whether the worker has a label, which each has if it is empty.
+func (w *Worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.info.Labels, label)
 }
 
 // queue returns the policy of the phase's queue, nil if there is none.
@@ -157,14 +170,9 @@
 // slotsOn returns how many tasks of the phase fit into the free room of a
 // worker.
 func (p *phase) slotsOn(w *Worker, need, free core.Resources) int {
-	n := unbounded
-	if p.spec.PerWorker > 0 {
-		n = p.spec.PerWorker - w.countTasks(p)
-	}
-	for _, d := range [][2]int64{{need.Cores, free.Cores}, {need.Memory, free.Memory}, {need.Accel, free.Accel}} {
-		if d[0] > 0 {
-			n = min(n, int(d[1]/d[0]))
-		}
+	n := slotsIn(need, free)
+	if p.spec.PerWorker > 0 && n > 0 {
+		n = min(n, p.spec.PerWorker-w.countTasks(p))
 	}
 	if n == unbounded {
 		n = maxSmallRuns - len(w.tasks) - len(w.orphans)
@@ -172,6 +180,18 @@
 	return max(n, 0)
 }
 
+// slotsIn returns how often a need fits into free room: unbounded if it asks for nothing,
+// below 1 if not at all.
+func slotsIn(need, free core.Resources) int {
+	n := unbounded
+	for _, d := range [...][2]int64{{need.Cores, free.Cores}, {need.Memory, free.Memory}, {need.Accel, free.Accel}} {
+		if d[0] > 0 {
+			n = min(n, int(d[1]/d[0]))
+		}
+	}
+	return n
+}
+
 // countTasks counts the runs of a phase on the worker, orphaned ones included.
 func (w *Worker) countTasks(p *phase) int {
 	n := 0
@@ -220,9 +240,9 @@
 	unnamed []adviceCandidate
 }
 
-// freeWorkers returns the workers with room for the phase, the best first. They are valid
-// until the next call.
-func (p *phase) freeWorkers() []freeWorker {
+// freeWorkers returns those of some workers that have room for the phase, the best first. They
+// are valid until the next call.
+func (p *phase) freeWorkers(among []*Worker) []freeWorker {
 	s := p.job.scheduler
 	need, queue := p.need(), p.queue()
 	out := s.scratch.free[:0]
@@ -235,15 +255,16 @@
 		}
 	}
 	if _, needsAdvice := p.advisor().Get(); !needsAdvice {
-		for _, w := range s.sortedWorkers {
+		for _, w := range among {
 			add(w, "")
 		}
 	} else if minExpiry := s.now.Add(ticketSlack); minExpiry.Before(p.advice.ticketsUntil) {
-		for id, t := range p.advice.allowed {
-			if w := s.workers[id]; w != nil && minExpiry.Before(t.until) {
+		p.eachAllowed(among, func(w *Worker, t ticket) bool {
+			if minExpiry.Before(t.until) {
 				add(w, t.text)
 			}
-		}
+			return true
+		})
 	}
 	slices.SortFunc(out, func(x, y freeWorker) int {
 		if x.score != y.score {
@@ -267,22 +288,66 @@
 	return score
 }
 
-// placeAll starts the tasks that fit, the most urgent first, and logs why other
-// phases wait.
+// placeAll starts the tasks that fit, the most urgent first, and logs why other phases wait.
+// It leaves out the phases that cannot start and of which no log line is due.
 func (s *Scheduler) placeAll() {
-	for _, p := range s.rankedPhases(func(*phase) bool { return true }) {
-		reason := p.blockReason()
+	s.beginPass()
+	s.placing.reset()
+	now := s.sinceStart(s.now)
+	for i := range s.open.phases {
+		o := &s.open.phases[i]
+		p, isDue := o.phase, o.lookAt <= now
+		if !isDue && !s.hasRoom(o.group, p) {
+			continue
+		}
+		if p.tasksWaiting == 0 {
+			o.lookAt = now
+			continue
+		}
+		if isDue {
+			// The time is computed at fixed intervals, whether it is used now or not.
+			s.expectedTimeToEnd(p)
+			o.lookAt = s.nextLook(p)
+		}
+		switch {
+		case isDue && p.waitLogDue():
+			s.placing.add(nil, s.rank(p))
+		case o.group != nil && !o.group.needsAdvice && p.mayFit():
+			s.placing.add(o.group, s.rank(p))
+		}
+	}
+	s.addTicketed()
+	s.placing.start()
+	for r, g, ok := s.placing.first(); ok; r, g, ok = s.placing.first() {
+		p := r.phase
 		switch {
-		case reason != "":
-		case p.spec.Gang:
-			reason = s.placeGang(p)
+		case g == nil:
+			s.placing.pop()
+			p.logWait(s.place(p, p.workersWithRoom()))
+		case s.rooms.roomOf(g).slots == 0 || s.atLimit(g, p):
+			s.placing.drop()
 		default:
-			reason = s.placeTasks(p)
+			s.placing.pop()
+			if p.mayFit() {
+				s.place(p, p.workersWithRoom())
+			}
 		}
-		p.logWait(reason)
 	}
 }
 
+// place starts the tasks of a phase that fit on some workers. It returns why others still
+// wait, or "".
+func (s *Scheduler) place(p *phase, among []*Worker) string {
+	reason := p.blockReason()
+	switch {
+	case reason != "":
+		return reason
+	case p.spec.Gang:
+		return s.placeGang(p, among)
+	}
+	return s.placeTasks(p, among)
+}
+
 // blockReason returns why no task of the phase may start whatever room is free,
 // or "".
 func (p *phase) blockReason() string {
@@ -299,22 +364,27 @@
 	return ""
 }
 
-// logWait logs why a phase waits, once it has waited for waitLogDelay, and
-// again after each waitLogInterval.
+// waitLogDue reports whether it is to be logged if the phase waits: once it has waited for
+// waitLogDelay, and again after each waitLogInterval.
+func (p *phase) waitLogDue() bool {
+	now := p.job.scheduler.now
+	return now.Sub(p.waitLoggedAt) >= waitLogInterval && now.Sub(p.openedAt) >= waitLogDelay
+}
+
+// logWait logs why a phase waits, if that is due.
 func (p *phase) logWait(reason string) {
 	s := p.job.scheduler
-	waited := s.now.Sub(p.openedAt)
-	if reason == "" || waited < waitLogDelay || s.now.Sub(p.waitLoggedAt) < waitLogInterval {
+	if reason == "" || !p.waitLogDue() {
 		return
 	}
 	p.waitLoggedAt = s.now
-	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: waited, Reason: reason})
+	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: s.now.Sub(p.openedAt), Reason: reason})
 }
 
-// placeTasks starts as many waiting tasks as fit. It returns why others still
+// placeTasks starts as many waiting tasks as fit on some workers. It returns why others still
 // wait, or "".
-func (s *Scheduler) placeTasks(p *phase) string {
-	free := p.freeWorkers()
+func (s *Scheduler) placeTasks(p *phase, among []*Worker) string {
+	free := p.freeWorkers(among)
 	if len(free) == 0 {
 		return p.noFreeWorkerReason()
 	}
@@ -390,9 +460,9 @@
 	return "no worker that may run it has room"
 }
 
-// placeGang starts all tasks of a gang together, or none and returns why.
-func (s *Scheduler) placeGang(p *phase) string {
-	free := p.freeWorkers()
+// placeGang starts all tasks of a gang together on some workers, or none and returns why.
+func (s *Scheduler) placeGang(p *phase, among []*Worker) string {
+	free := p.freeWorkers(among)
 	if p.spec.SameRack {
 		free = oneRack(free, p.spec.Count)
 	}
@@ -426,27 +496,3 @@
 	}
 	return ""
 }
-
-// oneRack returns the workers of the best rack with room for the whole gang, or
-// all workers if no rack has that much.
-func oneRack(workers []freeWorker, count int) []freeWorker {
-	racks := map[string][]freeWorker{}
-	var names []string
-	for _, f := range workers {
-		rack := f.worker.info.Rack
-		if racks[rack] == nil {
-			names = append(names, rack)
-		}
-		racks[rack] = append(racks[rack], f)
-	}
-	for _, name := range names {
-		slots := 0
-		for _, f := range racks[name] {
-			slots = min(slots+f.slots, count)
-		}
-		if slots == count {
-			return racks[name]
-		}
-	}
-	return workers
-}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -55,6 +55,7 @@
 type Scheduler struct {
 	epoch     core.Epoch
 	now       time.Time
+	startedAt time.Time
 	limits    Limits
 	policy    *policy.Policy
 	estimator *cell.Estimator
@@ -65,8 +66,8 @@
 	// decisions.
 	sortedWorkers []*Worker
 	misdirected   misdirected
-	// openPhases holds the phases whose tasks may start.
-	openPhases map[*phase]struct{}
+	// open holds the phases whose tasks may start.
+	open openList
 	// due holds the jobs with occurrences that have not been built in their turn.
 	due map[core.Team]dueQueue
 	// accepted counts the bytes of the jobs that have not ended, built those of the
@@ -152,6 +153,10 @@
 	lastJobSeq uint64
 	stopRepeat stopRepeat
 	scratch    scratch
+	// rooms and placing are the state of one pass over the open phases.
+	rooms   rooms
+	placing turns[*group]
+	round   adviceRound
 	// needsPlacement is set when a change may let waiting tasks start.
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
@@ -182,11 +187,11 @@
 // New returns a scheduler without jobs and workers for a new owner's epoch.
 func New(now time.Time, epoch core.Epoch, limits Limits, p *policy.Policy, opts ...Option) *Scheduler {
 	s := &Scheduler{
-		epoch: epoch, now: now, allReported: epoch <= 1,
+		epoch: epoch, now: now, startedAt: now, allReported: epoch <= 1,
 		authority: authority{replacedAt: now, acting: true},
 		limits:    limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
-		openPhases: map[*phase]struct{}{}, due: map[core.Team]dueQueue{},
+		due: map[core.Team]dueQueue{}, rooms: newRooms(),
 		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{},
 		unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, heldPhases: map[*phase]struct{}{},
 		accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), advised: budget.New(0, 0),
@@ -226,6 +231,7 @@
 			j.setPolicy(old)
 		}
 	}
+	s.rooms.forget()
 	s.needsPlacement = true
 }
 
--- a/core/fleet/start.go
+++ b/core/fleet/start.go
@@ -24,6 +24,7 @@
 	s.starts.Charge(t.phase.job.Spec.Team, 1)
 	s.startTeams[startID{f.worker.id, t.ID(), run}] = t.phase.job.Spec.Team
 	s.counts.Starts++
+	s.rooms.starts++
 	s.addOrder(Order{
 		Kind: OrderStart, Worker: f.worker.id, Task: t.ID(), Run: run,
 		Payload: t.phase.job.Spec.Payload, Checkpoint: checkpoint, Ticket: f.ticket,
