--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -291,6 +291,10 @@
 // placeAll starts the tasks that fit, the most urgent first, and logs why other phases wait.
 // It leaves out the phases that cannot start and of which no log line is due.
 func (s *Scheduler) placeAll() {
+	if s.exhaustive {
+		s.placeExhaustively()
+		return
+	}
 	s.beginPass()
 	s.placing.reset()
 	now := s.sinceStart(s.now)
--- a/core/fleet/requests.go
+++ b/core/fleet/requests.go
@@ -89,6 +89,10 @@
 	if !peers.HasCapacity(0) {
 		return
 	}
+	if s.exhaustive {
+		s.requestExhaustively(peers)
+		return
+	}
 	s.beginPass()
 	a := &s.round
 	a.begin(peers)
--- a/core/fleet/sameplace_test.go
+++ b/core/fleet/sameplace_test.go
@@ -19,7 +19,6 @@
 type twin struct {
 	*fleet.Scheduler
 	now      time.Time
-	plain    bool
 	vmFreeAt []time.Time
 	requests []fleet.AdviceRequest
 }
@@ -60,13 +59,8 @@
 // decide lets the twin decide, and returns its starts, its requests and its other decisions.
 func (w *twin) decide(now time.Time) ([]fleet.Order, []fleet.AdviceRequest, []string) {
 	w.now, w.requests = now, nil
-	if w.plain {
-		w.PlainTick(now)
-		w.PlainAdviceRequests(now, w)
-	} else {
-		w.Tick(now)
-		w.AdviceRequests(now, w)
-	}
+	w.Tick(now)
+	w.AdviceRequests(now, w)
 	var starts []fleet.Order
 	var others []string
 	for _, o := range w.Orders() {
@@ -107,7 +101,7 @@
 
 func (s *samePlay) newPolicy(version core.Version) *policy.Policy {
 	queues := []policy.Queue{
-		{Name: "plain", Priority: 1, Service: "s"},
+		{Name: "free", Priority: 1, Service: "s"},
 		{Name: "slow", Priority: 1, Service: "s", Advisor: core.Some(policy.Advisor{Base: 60 * time.Millisecond, PerWorker: 3 * time.Millisecond})},
 		{Name: "fast", Priority: s.rng.IntN(3), Service: "s", Advisor: core.Some(policy.Advisor{Base: 5 * time.Millisecond, PerWorker: 100 * time.Microsecond})},
 		{Name: "other", Priority: s.rng.IntN(3), Service: "s2"},
@@ -136,9 +130,9 @@
 		}
 		s.workers = append(s.workers, w)
 	}
-	for _, plain := range []bool{false, true} {
+	for _, opts := range [][]fleet.Option{nil, {fleet.WithExhaustivePlacement()}} {
 		s.twins = append(s.twins, &twin{
-			Scheduler: fleet.New(startTime, 1, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, p), plain: plain, vmFreeAt: make([]time.Time, 6),
+			Scheduler: fleet.New(startTime, 1, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, p, opts...), vmFreeAt: make([]time.Time, 6),
 		})
 	}
 	s.each(func(w *twin) {
@@ -158,7 +152,7 @@
 func (s *samePlay) submit() {
 	s.jobs++
 	spec := jobs.Spec{
-		ID: core.JobID(fmt.Sprintf("j%04d", s.jobs)), Team: []core.Team{"a", "b", "c"}[s.rng.IntN(3)], Queue: []core.Queue{"plain", "slow", "fast", "other"}[s.rng.IntN(4)],
+		ID: core.JobID(fmt.Sprintf("j%04d", s.jobs)), Team: []core.Team{"a", "b", "c"}[s.rng.IntN(3)], Queue: []core.Queue{"free", "slow", "fast", "other"}[s.rng.IntN(4)],
 		Accepted: s.now.Add(-time.Duration(s.rng.IntN(1000)) * time.Millisecond), FirstEpoch: 1, Payload: "p",
 	}
 	if spec.Team == "c" {
@@ -274,10 +268,10 @@
 		w.BatchStored(s.now)
 	})
 	starts, requests, others := s.twins[0].decide(s.now)
-	plainStarts, plainRequests, plainOthers := s.twins[1].decide(s.now)
-	is.Equal(starts, plainStarts)
-	is.Equal(requests, plainRequests)
-	is.Equal(others, plainOthers)
+	allStarts, allRequests, allOthers := s.twins[1].decide(s.now)
+	is.Equal(starts, allStarts)
+	is.Equal(requests, allRequests)
+	is.Equal(others, allOthers)
 	for _, o := range starts {
 		s.starts++
 		reply := fleet.ReplyOK
@@ -298,7 +292,7 @@
 }
 
 // TestSamePlacement checks on random plays that the starts, the advice requests and the log
-// lines are those of the plain way, in the same order. It guards against a phase that is left
+// lines are those of exhaustive placement, in the same order. It guards against a phase that is left
 // out of a pass though it could start, or that takes its turn too early or too late.
 func TestSamePlacement(t *testing.T) {
 	for seed := range uint64(12) {
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -56,6 +56,8 @@
 	epoch     core.Epoch
 	now       time.Time
 	startedAt time.Time
+	// exhaustive makes each pass examine all open phases and workers.
+	exhaustive bool
 	limits    Limits
 	policy    *policy.Policy
 	estimator *cell.Estimator
