--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -58,9 +58,9 @@
 	startedAt time.Time
 	// exhaustive makes each pass examine all open phases and workers.
 	exhaustive bool
-	limits    Limits
-	policy    *policy.Policy
-	estimator *cell.Estimator
+	limits     Limits
+	policy     *policy.Policy
+	estimator  *cell.Estimator
 
 	jobs    map[core.JobID]*Job
 	workers map[core.WorkerID]*Worker
