--- a/io/node/node.go
+++ b/io/node/node.go
@@ -144,10 +144,10 @@
 	// The lister has its own adaptive time-outs, since its reads are larger
 	// than those of the record store.
 	n.records, n.lister = record.New(adapt.New(store), record.WithReachability(store)), p.Lister(adapt.New(store))
-	n.entry = entry.New(n.records, toOwner, n.advice, meter{}, n.logger("entry"), entry.WithMemory(s.Limits.Memory))
+	n.entry = entry.New(n.records, toOwner, n.advice, Meter{}, n.logger("entry"), entry.WithMemory(s.Limits.Memory))
 	n.session = newSessionID(s.VM)
 	candidate := elect.Record{Holder: n.session, VM: s.VM, Addr: s.Peers, Delay: claimDelay(s)}
-	n.owner = owner.New(l, owner.Deps{Records: n.records, Workers: p.Workers, Lister: n.lister, Meter: meter{}}, candidate, claimDelay(s), s.Limits, n.logger("owner"),
+	n.owner = owner.New(l, owner.Deps{Records: n.records, Workers: p.Workers, Lister: n.lister, Meter: Meter{}}, candidate, claimDelay(s), s.Limits, n.logger("owner"),
 		owner.WithWorkersHook(n.entry.SetWorkers), owner.WithTickHook(n.entry.CheckPause), owner.WithRecordHook(n.entry.SetRecord),
 		owner.WithOwnerHook(func(r elect.Record, isOwner bool) { n.ownerChanged(toOwner, r, isOwner) }))
 	n.linkClient = link.NewClient(s.VM, string(s.Zone), n.advice, n.owner, store.ServeDirect, n.logger("link"), link.WithRoomHint(n.entry.SetRoomHint))
--- a/io/owner/decisions.go
+++ b/io/owner/decisions.go
@@ -12,13 +12,18 @@
 // logDecisions logs what the scheduler has decided since the last call.
 func (o *Owner) logDecisions() {
 	for _, d := range o.scheduler.Decisions() {
-		o.log.WithFields(decisionFields(d)).Info(d.Event)
+		LogDecision(o.log, d)
 	}
 	for _, err := range o.scheduler.RefusedEvents() {
 		o.log.WithError(err).Error("state chart refused an event")
 	}
 }
 
+// LogDecision logs a decision.
+func LogDecision(log *logrus.Entry, d fleet.Decision) {
+	log.WithFields(decisionFields(d)).Info(d.Event)
+}
+
 // decisionFields returns the log fields of a decision.
 func decisionFields(d fleet.Decision) logrus.Fields {
 	f := logrus.Fields{"epoch": d.Epoch, "confirmed": ageText(d.Confirmed)}
