Metrics of the owner are looked up once

Cause: each tick formatted the names of 9 counters into a map and looked up 25 metrics under a lock; each call formatted two names with their labels.

--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -10,58 +10,57 @@
 	"chicoryturn/core/fleet"
 )
 
-// The metrics of the mailbox are updated for each burst of messages.
-var (
-	mailboxLag      = metrics.NewHistogram("chicoryturn_mailbox_lag_seconds")
-	mailboxMessages = metrics.NewGauge("chicoryturn_mailbox_messages", nil)
-)
-
 // Meter writes to the process's metrics.
 type Meter struct{}
 
 // Call counts one answered call, from a client or to a worker, and its
 // duration.
 func (Meter) Call(kind, result string, took time.Duration) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`chicoryturn_calls_total{call=%q,result=%q}`, kind, result)).Inc()
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`chicoryturn_call_seconds{call=%q}`, kind)).Update(took.Seconds())
+	m := calls.with(callLabels{kind, result})
+	m.total.Inc()
+	m.seconds.Update(took.Seconds())
 }
 
 // Counts sets the totals of the owner's decisions.
 func (Meter) Counts(c fleet.Counts) {
-	for name, n := range map[string]uint64{
-		"starts": c.Starts, "refused": c.Refused, "unanswered": c.Unanswered, "ends": c.Ends, "failures": c.Failures,
-		"lapses": c.Lapses, "stops": c.Stops, "asks": c.Asks, "rejected": c.Rejected,
-	} {
-		metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_board_%s_total", name)).Set(n)
-	}
+	starts().Set(c.Starts)
+	refused().Set(c.Refused)
+	unanswered().Set(c.Unanswered)
+	ends().Set(c.Ends)
+	failures().Set(c.Failures)
+	lapses().Set(c.Lapses)
+	stops().Set(c.Stops)
+	asks().Set(c.Asks)
+	rejected().Set(c.Rejected)
 }
 
 // Queued sets how many starts and stops wait for their turn.
 func (Meter) Queued(total, longest int) {
-	metrics.GetOrCreateGauge("chicoryturn_orders_queued", nil).Set(float64(total))
-	metrics.GetOrCreateGauge("chicoryturn_orders_queued_one_worker", nil).Set(float64(longest))
+	ordersQueued().Set(float64(total))
+	ordersOneWorker().Set(float64(longest))
 }
 
 // Record counts one write of the owner and its duration.
 func (Meter) Record(rows int, took time.Duration) {
-	metrics.GetOrCreateCounter("chicoryturn_recorded_rows_total").Add(rows)
-	metrics.GetOrCreateHistogram("chicoryturn_record_seconds").Update(took.Seconds())
+	recordedRows().Add(rows)
+	recordSeconds().Update(took.Seconds())
 }
 
 // Placement records the duration of one placement pass.
-func (Meter) Placement(took time.Duration) {
-	metrics.GetOrCreateHistogram("chicoryturn_plan_seconds").Update(took.Seconds())
-}
+func (Meter) Placement(took time.Duration) { planSeconds().Update(took.Seconds()) }
 
 // Memory sets what the jobs of the fleet take of the owner's memory.
 func (Meter) Memory(use fleet.MemoryUse) {
-	for name, n := range map[string]int64{
-		`chicoryturn_jobs_bytes{part="accepted"}`: use.Accepted, `chicoryturn_jobs_bytes{part="built"}`: use.Built, `chicoryturn_jobs_bytes{part="placed"}`: use.Placed, `chicoryturn_jobs_bytes{part="advice"}`: use.Advised,
-		`chicoryturn_jobs_limit_bytes{part="accepted"}`: use.AcceptedLimit, `chicoryturn_jobs_limit_bytes{part="built"}`: use.BuiltLimit, `chicoryturn_jobs_limit_bytes{part="placed"}`: use.PlacedLimit, `chicoryturn_jobs_limit_bytes{part="advice"}`: use.AdvisedLimit,
-		"chicoryturn_jobs_parked": int64(use.Parked), "chicoryturn_teams_waiting_for_memory": int64(use.Waiting),
-	} {
-		metrics.GetOrCreateGauge(name, nil).Set(float64(n))
-	}
+	acceptedBytes().Set(float64(use.Accepted))
+	builtBytes().Set(float64(use.Built))
+	placedBytes().Set(float64(use.Placed))
+	advisedBytes().Set(float64(use.Advised))
+	acceptedLimit().Set(float64(use.AcceptedLimit))
+	builtLimit().Set(float64(use.BuiltLimit))
+	placedLimit().Set(float64(use.PlacedLimit))
+	advisedLimit().Set(float64(use.AdvisedLimit))
+	jobsParked().Set(float64(use.Parked))
+	teamsWaiting().Set(float64(use.Waiting))
 }
 
 // Claim counts one claim of the ownership record.
@@ -76,8 +75,8 @@
 
 // Authority sets on what the owner's orders rest.
 func (Meter) Authority(recordAge time.Duration, unreached int) {
-	metrics.GetOrCreateGauge("chicoryturn_record_age_seconds", nil).Set(recordAge.Seconds())
-	metrics.GetOrCreateGauge("chicoryturn_workers_unreached", nil).Set(float64(unreached))
+	recordAgeGauge().Set(recordAge.Seconds())
+	unreachedGauge().Set(float64(unreached))
 }
 
 // Mailbox records the lag of the control goroutine and sets the length of its mailbox.
