Lines of decisions are encoded without maps

Cause: a decision's line went through three maps and boxed values; an owner of a busy fleet writes 2,000 lines a second.

Change: logbuf.Info writes the line straight to the buffer if the log has the form of this package and no hooks, and by way of logrus otherwise.

--- a/io/logbuf/format_test.go
+++ b/io/logbuf/format_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +59,39 @@
 	})
 }
 
+// TestInfo guards against lines that depend on the way that they are encoded in.
+func TestInfo(t *testing.T) {
+	keys := rapid.SampledFrom([]string{"a", "epoch", "job", "x", "y<"})
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		var direct, viaMap strings.Builder
+		w := logbuf.New(&direct)
+		base := logrus.Fields{"part": rapid.String().Draw(t, "part")}
+		if rapid.Bool().Draw(t, "odd") {
+			base["epoch"] = 3
+		}
+		values := rapid.MapOf(keys, rapid.Uint64()).Draw(t, "fields")
+		msg := rapid.String().Draw(t, "msg")
+		for _, out := range []io.Writer{w, &viaMap} {
+			log := logrus.New()
+			log.SetOutput(out)
+			log.SetFormatter(logbuf.NewFormatter())
+			fields := []logbuf.Field{logbuf.Text("text", core.JobID(msg))}
+			for _, k := range slices.Sorted(maps.Keys(values)) {
+				fields = append(fields, logbuf.Number(k, values[k]))
+			}
+			logbuf.Info(log.WithFields(base).WithTime(lineTime), msg, fields...)
+			log.SetLevel(logrus.WarnLevel)
+			logbuf.Info(log.WithFields(base), "not logged")
+		}
+		ended, end := context.WithCancel(context.Background())
+		end()
+		is.NoErr(w.Run(ended))
+		is.Equal(direct.String(), viaMap.String())
+		is.Equal(strings.Count(direct.String(), "\n"), 1)
+	})
+}
+
 // BenchmarkLine measures the line of a decision, from its fields to the buffer.
 func BenchmarkLine(b *testing.B) {
 	for _, c := range []struct {
--- a/io/owner/decisions.go
+++ b/io/owner/decisions.go
@@ -7,8 +7,12 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryturn/core/fleet"
+	"chicoryturn/io/logbuf"
 )
 
+// maxDecisionFields is how many fields a decision has at most.
+const maxDecisionFields = 13
+
 // logDecisions logs what the scheduler has decided since the last call.
 func (o *Owner) logDecisions() {
 	for _, d := range o.scheduler.Decisions() {
@@ -19,49 +23,51 @@
 	}
 }
 
-// LogDecision logs a decision.
+// LogDecision logs a decision. An owner logs some thousands a second.
 func LogDecision(log *logrus.Entry, d fleet.Decision) {
-	log.WithFields(decisionFields(d)).Info(d.Event)
-}
-
-// decisionFields returns the log fields of a decision.
-func decisionFields(d fleet.Decision) logrus.Fields {
-	f := logrus.Fields{"epoch": d.Epoch, "confirmed": ageText(d.Confirmed)}
-	if d.Job != "" {
-		f["job"] = d.Job
+	// The fields are in the order of their keys.
+	var array [maxDecisionFields]logbuf.Field
+	f := array[:0]
+	if d.Wait > 0 {
+		f = append(f, logbuf.Text("after", ageText(d.Wait)))
 	}
-	if d.Task != "" {
-		f["task"] = d.Task
+	if d.Reason != "" {
+		f = append(f, logbuf.Text("because", d.Reason))
 	}
-	if d.Worker != "" {
-		f["worker"] = d.Worker
+	f = append(f, logbuf.Text("confirmed", ageText(d.Confirmed)))
+	if d.Count > 0 {
+		f = append(f, logbuf.Number("count", d.Count))
+	}
+	if d.FirstEnd == 0 && d.LastEnd > 0 {
+		f = append(f, logbuf.Number("end", d.LastEnd))
+	}
+	f = append(f, logbuf.Number("epoch", d.Epoch))
+	if d.FirstEnd > 0 {
+		f = append(f, logbuf.Number("from", d.FirstEnd))
+	}
+	if d.Job != "" {
+		f = append(f, logbuf.Text("job", d.Job))
 	}
 	if d.Run > 0 {
-		f["run"] = d.Run
+		f = append(f, logbuf.Number("run", d.Run))
 	}
-	switch {
-	case d.FirstEnd > 0:
-		f["from"], f["to"] = d.FirstEnd, d.LastEnd
-	case d.LastEnd > 0:
-		f["end"] = d.LastEnd
+	if d.Task != "" {
+		f = append(f, logbuf.Text("task", d.Task))
 	}
-	if d.Count > 0 {
-		f["count"] = d.Count
+	if d.FirstEnd > 0 {
+		f = append(f, logbuf.Number("to", d.LastEnd))
+	}
+	if d.Worker != "" {
+		f = append(f, logbuf.Text("worker", d.Worker))
 	}
 	if len(d.Workers) > 0 {
 		names := make([]string, 0, len(d.Workers))
 		for _, id := range d.Workers {
 			names = append(names, string(id))
 		}
-		f["workers"] = strings.Join(names, " ")
-	}
-	if d.Wait > 0 {
-		f["after"] = ageText(d.Wait)
-	}
-	if d.Reason != "" {
-		f["because"] = d.Reason
+		f = append(f, logbuf.Text("workers", strings.Join(names, " ")))
 	}
-	return f
+	logbuf.Info(log, d.Event, f...)
 }
 
 // logClaim logs an event with the reason of the last claim and the age of the record that it
