Hooks see the fields of a decision in their own types again

Cause: TestHandOverIsLogged and TestLateStartsAreLogged of io/owner failed since the lines of decisions are encoded without maps: on the way through logrus the fields were plain numbers and texts instead of core.Epoch and core.JobID.

Change: a field keeps its type.

--- a/io/logbuf/line.go
+++ b/io/logbuf/line.go
@@ -1,6 +1,7 @@
 package logbuf
 
 import (
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,22 +16,28 @@
 	key, text string
 	number    uint64
 	isNumber  bool
+	// zero is the zero value of the field's own type, which hooks see. Unlike the value itself it
+	// takes no allocation.
+	zero any
 }
 
 // Text returns a field that holds a text.
-func Text[S ~string](key string, value S) Field { return Field{key: key, text: string(value)} }
+func Text[S ~string](key string, value S) Field {
+	return Field{key: key, text: string(value), zero: S("")}
+}
 
-// Number returns a field that holds a number.
+// Number returns a field that holds a number that is not negative.
 func Number[N ~uint64 | ~int](key string, value N) Field {
-	return Field{key: key, number: uint64(value), isNumber: true}
+	return Field{key: key, number: uint64(value), isNumber: true, zero: N(0)}
 }
 
-// value returns what the field holds.
+// value returns the value of the field in its own type.
 func (f Field) value() any {
+	own := reflect.TypeOf(f.zero)
 	if f.isNumber {
-		return f.number
+		return reflect.ValueOf(f.number).Convert(own).Interface()
 	}
-	return f.text
+	return reflect.ValueOf(f.text).Convert(own).Interface()
 }
 
 // lineBytes is the capacity, in bytes, that a buffer for a line begins with.
--- a/io/owner/decisions_test.go
+++ b/io/owner/decisions_test.go
@@ -51,6 +51,32 @@
 	is.Equal(strings.Split(text.String(), "\n"), append(want, ""))
 }
 
+// TestDecisionFieldTypes guards against hooks that see other types of fields than those of the
+// decision.
+func TestDecisionFieldTypes(t *testing.T) {
+	is := is.New(t)
+	hook := &fieldsHook{}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.AddHook(hook)
+	owner.LogDecision(logrus.NewEntry(log), frequentDecisions[1])
+	is.Equal(hook.fields, logrus.Fields{
+		"confirmed": "65ms", "end": uint64(58), "epoch": core.Epoch(3), "job": core.JobID("caafae8dad7ad37b"), "run": uint64(1), "task": "caafae8dad7ad37b.0.0.3", "worker": core.WorkerID("i-4df529dea4"),
+	})
+}
+
+// fieldsHook keeps the fields of the last line.
+type fieldsHook struct{ fields logrus.Fields }
+
+// Levels implements logrus.Hook.
+func (*fieldsHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h *fieldsHook) Fire(e *logrus.Entry) error {
+	h.fields = e.Data
+	return nil
+}
+
 // BenchmarkDecisionLine measures the lines of frequent decisions, up to the buffer.
 func BenchmarkDecisionLine(b *testing.B) {
 	for _, d := range frequentDecisions {
