Metrics of the connections to workers

Cause: the pool of connections is new, and each new connection has a price.

Change: chicoryturn_worker_connections, _opened_total and _lost_total are read from the counts of the pool when /metrics is read.

--- a/cmd/chicoryturn/node.go
+++ b/cmd/chicoryturn/node.go
@@ -31,6 +31,8 @@
 			}
 			store := platform.NewStore(local.StoreAddr)
 			registerStoreMetrics(store)
+			workers := platform.NewWorkerClient()
+			registerWorkerMetrics(workers)
 			reload := make(chan os.Signal, 1)
 			signal.Notify(reload, syscall.SIGHUP)
 			// SIGINT or SIGTERM starts a drain; the process exits once the drain
@@ -38,7 +40,7 @@
 			return node.Run(context.WithoutCancel(ctx), local.Node, node.Platform{
 				Store:         store,
 				Lister:        func(client table.Client) node.Lister { return platform.NewLister(client, local.Zones) },
-				Workers:       platform.NewWorkerClient(),
+				Workers:       workers,
 				Advisor:       platform.NewAdvisorClient(local.AdvisorAddr),
 				CallerHandler: func(e *entry.Entry) http.Handler { return platform.CallerHandler(e) },
 				ProbeHandler:  func(e *entry.Entry) http.Handler { return platform.ReadinessHandler(e) },
@@ -59,6 +61,14 @@
 	}
 }
 
+// registerWorkerMetrics exports the counts of the connections to workers.
+func registerWorkerMetrics(workers *platform.WorkerClient) {
+	n := workers.Conns()
+	for name, counter := range map[string]*atomic.Uint64{"": &n.Open, "_opened_total": &n.Opened, "_lost_total": &n.Lost} {
+		metrics.NewGauge("chicoryturn_worker_connections"+name, func() float64 { return float64(counter.Load()) })
+	}
+}
+
 // checkCommand returns the subcommand that validates a settings file of the platform.
 func checkCommand() *command {
 	file := ""
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,13 @@
 // Error implements error.
 func (e *WaitError) Error() string { return fmt.Sprintf("no connection within %s", e.Wait) }
 
+// Counts tells of the connections of a pool to all servers. Any goroutine may read it.
+type Counts struct {
+	// Open counts those that are open, Opened all that were opened, and Lost those of them that
+	// their server had closed before their next use.
+	Open, Opened, Lost atomic.Uint64
+}
+
 // Pool holds the connections to all servers.
 type Pool struct {
 	dialer Dialer
@@ -43,6 +51,7 @@
 	perServer int
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout time.Duration
+	counts      Counts
 
 	mu      sync.Mutex
 	servers map[netip.AddrPort]*server
@@ -93,6 +102,9 @@
 	return p
 }
 
+// Counts returns the counts of the pool.
+func (p *Pool) Counts() *Counts { return &p.counts }
+
 // Get returns a connection that no other call uses. It opens one only while all others are in use.
 // The call that has it ends with Put or Discard. The error is a DialError, a WaitError or that of
 // the context. Nothing ends the opening of a connection, which another call can use.
@@ -105,6 +117,7 @@
 		if c.isOpen() {
 			return c, nil
 		}
+		p.counts.Lost.Add(1)
 		p.Discard(c)
 	}
 }
@@ -156,6 +169,8 @@
 		p.closed(s)
 		return
 	}
+	p.counts.Opened.Add(1)
+	p.counts.Open.Add(1)
 	c := newConn(netConn, s)
 	if isWaiting {
 		w.ready <- delivery{conn: c}
@@ -229,6 +244,7 @@
 func (p *Pool) Discard(c *Conn) {
 	// The connection is not used again, whatever the error.
 	_ = c.Close()
+	p.counts.Open.Add(^uint64(0))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed(c.server)
@@ -281,5 +297,6 @@
 	p.mu.Unlock()
 	for _, c := range expired {
 		_ = c.Close()
+		p.counts.Open.Add(^uint64(0))
 	}
 }
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -111,6 +111,8 @@
 			p.Put(c)
 			time.Sleep(2 * idleTimeout)
 			is.Equal(d.open.Load(), int64(0))
+			is.Equal(p.Counts().Open.Load(), uint64(0))
+			is.True(p.Counts().Opened.Load() > limit)
 		})
 	}
 }
