--- a/core/error.go
+++ b/core/error.go
@@ -29,6 +29,7 @@
 	CodeBusy              Code = "busy"
 	CodeTimeout           Code = "timeout"
 	CodeOverLimit         Code = "over-limit"
+	CodeOverload          Code = "overload"
 	CodeLeaving           Code = "leaving"
 	CodeStoreUnavailable  Code = "store-unavailable"
 	CodeNoOwner           Code = "no-owner"
