Fleet: what new jobs of each queue and team wait for

Cause: VMs that accept jobs know nothing of the work in front of a new one. Change: Scheduler.Backlog adds up the open work that is still useful, by queue, and by team where its limit binds; at most every 500 ms. A new owner, one that may not act, or whose workers have not reported tells nothing. The time allowed to a job is computed in one place.

--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -183,10 +183,6 @@
 	if q == nil {
 		return
 	}
-	adviceTime := time.Duration(0)
-	if a, ok := q.Advisor.Get(); ok {
-		adviceTime = a.Cost(deadlineWorkers)
-	}
-	allowed := time.Duration(q.Slowdown*float64(j.Spec.CriticalPath(adviceTime))) + q.Latency
+	allowed := allowedTime(&j.Spec, q)
 	j.deadline, j.usefulUntil = j.acceptedAt.Add(allowed), j.acceptedAt.Add(usefulFactor*allowed)
 }
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -152,6 +152,7 @@
 	lastJobSeq uint64
 	stopRepeat stopRepeat
 	scratch    scratch
+	backlog    backlog
 	// needsPlacement is set when a change may let waiting tasks start.
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
