Why: how often a job was refused before it was accepted, and by which estimate

Cause: the summary of an accepted job named none of its refusals. Change: Summary counts them; the fields estimate, wait, slack and age are printed. Measured: TestSummaryOfRefusals fails before, passes after.

--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -23,7 +23,7 @@
 const timeLayout = "15:04:05.000"
 
 // printedFields are the fields that String prints, in this order.
-var printedFields = []string{"result", "queue", "task", "run", "worker", "end", "from", "to", "epoch", "confirmed", "sent", "after", "reply", "because", "took", "error"}
+var printedFields = []string{"result", "queue", "task", "run", "worker", "end", "from", "to", "epoch", "confirmed", "sent", "after", "reply", "because", "estimate", "wait", "slack", "age", "took", "error"}
 
 // endEvents are the messages that log the end of a job.
 var endEvents = core.NewSet(fleet.EndEvent(jobs.Completed), fleet.EndEvent(jobs.Failed), fleet.EndEvent(jobs.Cancelled))
@@ -135,12 +135,13 @@
 		return "no line names this job: no call for it reached a VM whose log was read"
 	}
 	var refused, accepted, ended, lastWait, lastFailedOn string
-	failedRuns := 0
+	failedRuns, refusals := 0, 0
 	for _, l := range lines {
 		switch {
 		case l.Message == "submit" && l.Fields["result"] == "accepted":
 			accepted = l.At
 		case l.Message == "submit":
+			refusals++
 			refused = fmt.Sprintf("%s (%s)", l.Fields["result"], l.Fields["error"])
 		case l.Message == "waits":
 			lastWait = fmt.Sprintf("%s after %s", l.Fields["because"], l.Fields["after"])
@@ -160,6 +161,9 @@
 	case ended != "":
 		out = append(out, ended)
 	}
+	if accepted != "" && refusals > 0 {
+		out = append(out, fmt.Sprintf("refused %d times, last: %s", refusals, refused))
+	}
 	if lastWait != "" {
 		out = append(out, "last waited for: "+lastWait)
 	}
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// TestSummaryOfRefusals guards against a history that hides how often a job was refused before it was
+// accepted, and by which estimate.
+func TestSummaryOfRefusals(t *testing.T) {
+	is := is.New(t)
+	const refused = `{"age":"310ms","error":"overload: late","estimate":"queue","job":"aa","msg":"submit","part":"entry","result":"overload","slack":"8s","time":"06:00:00.000","vm":"a","wait":"12.5s"}` + "\n"
+	lines, _, err := trace.Read(strings.NewReader(refused+strings.Replace(refused, "06:00:00", "06:00:09", 1)+
+		`{"job":"aa","msg":"submit","part":"entry","result":"accepted","time":"06:00:20.000","vm":"a"}`), "aa")
+	is.NoErr(err)
+	is.Equal(lines[0].String(), "06:00:00.000 a                      entry  submit  result=overload  estimate=queue  wait=12.5s  slack=8s  age=310ms  error=overload: late")
+	is.Equal(trace.Summary(lines), "accepted; these logs do not contain its end; refused 2 times, last: overload (overload: late)")
+	is.Equal(trace.Summary(lines[:2]), "never accepted; last refused: overload (overload: late)")
+}
+
 // TestSummaryOfEnds checks the summary for each end that a job can have, and that other
 // messages about a job are not taken for its end.
 func TestSummaryOfEnds(t *testing.T) {
