Entry: refuse jobs that can't end while they are useful

Change: the owner tells in its record (Load) what new jobs wait for; VMs refuse with 429, code overload, and the time to return. A claim and a vacated record hold no Load; after a pause of the process the first one counts as stale. What a client is told in each case comes from one table (core/load/retry.go) instead of constants in io/entry, io/record and core/budget; what each case tells is unchanged.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"chicoryturn/core"
+	"chicoryturn/core/load"
 )
 
 const (
 	// MinRetry is the shortest time after which a refused client should retry.
-	MinRetry = time.Second
+	MinRetry = load.MinRetry
 	// MaxRetry is the longest such time.
-	MaxRetry = time.Hour
+	MaxRetry = load.MaxRetry
 	// ownDivisor is the part of a budget, as its divisor, that is divided among the teams
 	// in equal parts. The rest is shared.
 	ownDivisor = 2
--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -12,6 +12,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/budget"
 	"chicoryturn/core/chart"
+	"chicoryturn/core/load"
 )
 
 const (
@@ -80,6 +81,9 @@
 	// Held is what the accepted jobs take of the owner's memory; nil if the owner does
 	// not bound it. It is never changed in place.
 	Held *budget.Summary `json:",omitempty"`
+	// Load is what new jobs wait for; nil if they wait for nothing, or if the owner does not
+	// know. It is never changed in place, and holds for its owner alone.
+	Load *load.Summary `json:",omitempty"`
 	// Yields counts the owners in a row that have given up the record because they did not
 	// serve.
 	Yields int `json:",omitempty"`
@@ -371,7 +375,7 @@
 // the version that the row must still have.
 func (e *Election) ResignRecord() (Record, uint64) {
 	rec := e.record
-	rec.Holder, rec.WriteNumber = "", e.record.WriteNumber+1
+	rec.Holder, rec.WriteNumber, rec.Load = "", e.record.WriteNumber+1, nil
 	return rec, e.version
 }
 
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core/elect"
+	"chicoryturn/core/load"
 )
 
 var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
@@ -448,3 +449,20 @@
 	}
 	is.Equal(claimed, 3200)
 }
+
+// TestLoadOfOneOwner guards against VMs that refuse jobs by what an earlier owner has told: neither
+// a claim nor the record of an owner that has resigned holds it.
+func TestLoadOfOneOwner(t *testing.T) {
+	is := is.New(t)
+	owner, _ := newOwner()
+	rec, version := owner.NextRecord(at(700))
+	rec.Load = &load.Summary{}
+	owner.WriteSucceeded(at(710), at(700), rec, version+1, 0)
+	resigned, _ := owner.ResignRecord()
+	is.Equal(resigned.Load, nil)
+
+	watcher := elect.New(elect.Record{Holder: "vm-c/1"}, 0)
+	watcher.Observe(at(800), elect.Observation{Record: rec, Version: 8})
+	claim, _ := watcher.NextRecord(at(800))
+	is.Equal(claim.Load, nil)
+}
--- a/io/entry/confirm.go
+++ b/io/entry/confirm.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"chicoryturn/core"
+	"chicoryturn/core/load"
 )
 
 const (
@@ -26,6 +26,8 @@
 	// the last pause, and confirmedAt when the last successful read of the
 	// configuration began. All are in nanoseconds.
 	checkedAt, resumedAt, confirmedAt atomic.Int64
+	// pauses counts the pauses.
+	pauses atomic.Uint64
 	// resumed receives a value after each pause.
 	resumed chan struct{}
 }
@@ -39,6 +41,7 @@
 	now := int64(c.now())
 	if last := c.checkedAt.Swap(now); last > 0 && now-last > int64(maxPause) {
 		c.resumedAt.Store(now)
+		c.pauses.Add(1)
 		select {
 		case c.resumed <- struct{}{}:
 		default:
@@ -72,7 +75,5 @@
 
 // unconfirmed returns the refusal of a call while the configuration is not confirmed.
 func unconfirmed(reason string) error {
-	refusal := core.Refuse(core.CodeConfigUnconfirmed, "%s", reason)
-	refusal.RetryAfter = clientRetryAfter
-	return refusal
+	return load.Unconfirmed.Refuse(nil, "%s", reason)
 }
--- a/io/entry/door_test.go
+++ b/io/entry/door_test.go
@@ -13,6 +13,8 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/load"
+	"chicoryturn/core/policy"
 	"chicoryturn/io/entry"
 )
 
@@ -97,3 +99,52 @@
 	is.NoErr(err)
 	is.True(!stored)
 }
+
+// TestUselessJobs guards against jobs that are accepted though they can't end while they are useful to
+// their clients (529 previews on a day of demands/): they are refused with the time to return, and only
+// by an estimate that holds.
+func TestUselessJobs(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	deps := &fakeDeps{connected: true}
+	boot := time.Hour
+	e := newEntry(deps, entry.WithClock(func() time.Duration { return boot }))
+	e.SetPolicy(policy.New(5, []policy.Queue{{Name: "q", Host: "h", Prefix: "/", Service: "s", Slowdown: 2, Latency: time.Second}}, []policy.Team{{Name: "t", Keys: []string{"k"}}}, []policy.Service{{Name: "s"}}, 0))
+	submit := func(id string) error {
+		return e.Submit(ctx, jobs.Spec{ID: core.JobID(id), Team: "t", Queue: "q", Phases: []jobs.Phase{{Count: 1, Need: core.Resources{Cores: 1000}, Estimate: time.Second}}})
+	}
+	observe := func(holder core.SessionID, n int, seconds float64) {
+		b := load.NewBuilder(time.Unix(int64(n), 0))
+		b.AddQueue("s", "q", load.Line{Ahead: load.NewAmount(1000*seconds, 0), Room: load.NewAmount(1000, 0), Ratio: 1}, load.Slots{})
+		e.SetRecord(elect.Record{Holder: holder, Load: b.Summary()})
+	}
+	e.CheckPause()
+	is.NoErr(submit("a"))
+	observe("owner", 1, 10) // of the 8 s that the job may wait, times 1.25
+	is.NoErr(submit("b"))
+	observe("owner", 2, 30)
+	err := submit("c")
+	is.Equal(code(err), core.CodeOverload)
+	var r *core.RefusalError
+	is.True(errors.As(err, &r))
+	is.Equal(r.Execution, core.NotExecuted)
+	is.True(r.RetryAfter >= 20*time.Second)
+	is.True(r.RetryAfter <= time.Minute)
+	is.Equal(deps.refused, []string{"q queue"})
+	// An earlier call has stored the job.
+	notified := len(deps.notified)
+	is.NoErr(submit("a"))
+	is.Equal(len(deps.notified), notified+1)
+
+	boot += 4 * time.Second
+	is.NoErr(submit("d")) // the estimate is stale
+	observe("owner", 3, 30)
+	is.Equal(code(submit("e")), core.CodeOverload)
+	observe("", 4, 30) // the owner has resigned
+	is.NoErr(submit("e"))
+	observe("owner", 5, 30)
+	boot += time.Minute
+	e.CheckPause()
+	observe("owner", 6, 30) // may have been read before the pause
+	is.NoErr(submit("f"))
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,6 +18,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/load"
 	"chicoryturn/core/policy"
 	"chicoryturn/io/advice"
 	"chicoryturn/io/clock"
@@ -30,8 +31,6 @@
 	// maxEarlyDelay is the longest time that such a request may wait behind other
 	// requests of this VM. The owner reaches an idle VM in about that time.
 	maxEarlyDelay = 30 * time.Millisecond
-	// clientRetryAfter is the delay after which refused clients should retry.
-	clientRetryAfter = time.Second
 	// cancelRetryDelay is the time before a failed write of a cancellation is retried.
 	cancelRetryDelay = 100 * time.Millisecond
 )
@@ -79,6 +78,10 @@
 // Meter records metrics.
 type Meter interface {
 	Call(kind, result string, took time.Duration)
+	// Refused counts a job that was refused since it can't end while it is useful.
+	Refused(q core.Queue, reason load.Reason)
+	// EstimateAge sets the age of the estimate that the last decision on a job rests on.
+	EstimateAge(age time.Duration)
 }
 
 // Entry serves client calls. The traffic goroutines of a VM share its state, each part
@@ -135,7 +138,7 @@
 // SetPolicy is called.
 func New(records RecordStore, link OwnerLink, advisor Advisor, meter Meter, log *logrus.Entry, opts ...Option) *Entry {
 	e := &Entry{records: records, link: link, advisor: advisor, meter: meter, log: log, confirmation: newConfirmation(clock.BootTime), finds: make(chan struct{}, maxFinds)}
-	e.door.decisions, e.door.bodies = budget.NewDoor(0), budget.New(0, 1)
+	e.door.decisions, e.door.bodies, e.door.loads = budget.NewDoor(0), budget.New(0, 1), load.NewDoor()
 	for _, o := range opts {
 		o(e)
 	}
@@ -226,10 +229,16 @@
 // track runs f as a call of a kind, counts it and logs its outcome. It does not log
 // successful reads of a job's state.
 func (e *Entry) track(kind string, id core.JobID, f func() (string, error)) error {
+	return e.trackWith(kind, id, func(logrus.Fields) (string, error) { return f() })
+}
+
+// trackWith is track for a call that adds fields to its log line.
+func (e *Entry) trackWith(kind string, id core.JobID, f func(logrus.Fields) (string, error)) error {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	began := time.Now()
-	result, err := f()
+	fields := logrus.Fields{"job": id}
+	result, err := f(fields)
 	took := time.Since(began)
 	if err != nil {
 		result = "failed"
@@ -239,7 +248,8 @@
 		}
 	}
 	e.meter.Call(kind, result, took)
-	l := e.log.WithFields(logrus.Fields{"job": id, "result": result, "took": took.Round(time.Millisecond).String()})
+	fields["result"], fields["took"] = result, took.Round(time.Millisecond).String()
+	l := e.log.WithFields(fields)
 	if err != nil {
 		l = l.WithError(err)
 	}
@@ -252,13 +262,17 @@
 // Submit stores a job, with the limit of its team in its terms, and notifies the owner. A nil
 // error means that the job will be run.
 func (e *Entry) Submit(ctx context.Context, spec jobs.Spec) error {
-	return e.track("submit", spec.ID, func() (string, error) {
+	return e.trackWith("submit", spec.ID, func(fields logrus.Fields) (string, error) {
 		if err := spec.Validate(); err != nil {
 			return "", core.Refuse(core.CodeBadInput, "%v", err)
 		}
 		if err := e.checkCapacity(&spec); err != nil {
 			return "", err
 		}
+		job := e.loadOf(&spec)
+		if d := e.predict(job, fields); d.Refused() {
+			return e.refuseUseless(ctx, spec, d)
+		}
 		if retry, ok := e.door.admit(&spec); !ok {
 			return e.refuseOverBudget(ctx, spec, retry)
 		}
@@ -271,6 +285,7 @@
 		if err != nil {
 			return "", err
 		}
+		e.door.accepted(job)
 		e.link.JobAccepted(stored, early != nil)
 		if early != nil {
 			go func() { e.link.ReportAdvice(<-early) }()
@@ -355,9 +370,7 @@
 	if err == nil || errors.As(err, &refusal) {
 		return err
 	}
-	unavailable := core.Refuse(core.CodeStoreUnavailable, "the store does not answer")
-	unavailable.Err, unavailable.RetryAfter = err, clientRetryAfter
-	return unavailable
+	return load.StoreUnread.Refuse(err, "the store does not answer")
 }
 
 // Cancel stores a cancellation, with retries until the context ends, and notifies the
@@ -375,7 +388,7 @@
 				return "", err
 			}
 			if !clock.Sleep(ctx, cancelRetryDelay) {
-				return "", core.RefuseUnknown(core.CodeStoreUnavailable, err, "the cancellation is not confirmed")
+				return "", load.StoreSilent.Refuse(err, "the cancellation is not confirmed")
 			}
 		}
 	})
@@ -389,9 +402,7 @@
 		var err error
 		n, known, err = e.link.Pending(ctx, q)
 		if err != nil || !known {
-			refusal := core.Refuse(core.CodeNoOwner, "no owner answers at present")
-			refusal.Err, refusal.RetryAfter = err, clientRetryAfter
-			return "", refusal
+			return "", load.OwnerAway.Refuse(err, "no owner answers at present")
 		}
 		return "owner", nil
 	})
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/load"
 	"chicoryturn/core/policy"
 	"chicoryturn/io/advice"
 	"chicoryturn/io/entry"
@@ -38,6 +39,8 @@
 	delay time.Duration
 	// unreachable is set if the store cannot be reached.
 	unreachable bool
+	// refused holds the queue and reason of each job that was refused as useless.
+	refused []string
 }
 
 func (d *fakeDeps) Accept(_ context.Context, s jobs.Spec) (jobs.Spec, error) {
@@ -99,6 +102,12 @@
 
 func (d *fakeDeps) Call(string, string, time.Duration) {}
 
+func (d *fakeDeps) Refused(q core.Queue, reason load.Reason) {
+	d.refused = append(d.refused, string(q)+" "+string(reason))
+}
+
+func (d *fakeDeps) EstimateAge(time.Duration) {}
+
 func newEntry(deps *fakeDeps, opts ...entry.Option) *entry.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/io/httpx/httpx.go
+++ b/io/httpx/httpx.go
@@ -49,6 +49,7 @@
 	core.CodeTooLarge:          http.StatusUnprocessableEntity,
 	core.CodeBusy:              http.StatusTooManyRequests,
 	core.CodeOverLimit:         http.StatusTooManyRequests,
+	core.CodeOverload:          http.StatusTooManyRequests,
 	core.CodeTimeout:           http.StatusServiceUnavailable,
 	core.CodeLeaving:           http.StatusServiceUnavailable,
 	core.CodeStoreUnavailable:  http.StatusServiceUnavailable,
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -6,12 +6,15 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"chicoryturn/core"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
+	"chicoryturn/core/load"
 )
 
-// The metrics of the mailbox are updated for each burst of messages.
+// These metrics are updated for each burst of messages and for each submission.
 var (
+	estimateAge     = metrics.NewGauge("chicoryturn_estimate_age_seconds", nil)
 	mailboxLag      = metrics.NewHistogram("chicoryturn_mailbox_lag_seconds")
 	mailboxMessages = metrics.NewGauge("chicoryturn_mailbox_messages", nil)
 )
@@ -26,6 +29,14 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`chicoryturn_call_seconds{call=%q}`, kind)).Update(took.Seconds())
 }
 
+// Refused counts a job that was refused since it can't end while it is useful.
+func (meter) Refused(q core.Queue, reason load.Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`chicoryturn_refused_total{queue=%q,reason=%q}`, q, reason)).Inc()
+}
+
+// EstimateAge sets the age of the estimate that the last decision on a job rests on.
+func (meter) EstimateAge(age time.Duration) { estimateAge.Set(age.Seconds()) }
+
 // Counts sets the totals of the owner's decisions.
 func (meter) Counts(c fleet.Counts) {
 	for name, n := range map[string]uint64{
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -204,7 +204,7 @@
 	write := record.OwnerWrite{Record: next, Version: version}
 	isolating := o.scheduler != nil && o.scheduler.Isolating()
 	if o.scheduler != nil {
-		write.Record.Held = o.scheduler.Held(now)
+		write.Record.Held, write.Record.Load = o.scheduler.Held(now), o.scheduler.Backlog(now)
 		write.Progress = o.scheduler.Batch()
 		if !isolating {
 			write.Roster = o.rosterToStore
--- a/io/record/accept.go
+++ b/io/record/accept.go
@@ -10,6 +10,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/load"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/table"
 )
@@ -144,9 +145,7 @@
 	}
 	j := &pendingJob{ctx: ctx, spec: spec, put: put, queuedAt: time.Now(), result: make(chan acceptResult, 1)}
 	if !s.enqueue(partOf(spec.ID), j) {
-		busy := core.Refuse(core.CodeBusy, "%d jobs wait for the store", maxQueuedJobs)
-		busy.RetryAfter = clientRetryAfter
-		return spec, s.refusal(spec.ID, busy)
+		return spec, s.refusal(spec.ID, load.WritesFull.Refuse(nil, "%d jobs wait for the store", maxQueuedJobs))
 	}
 	// The writer always answers, at the latest soon after the caller's deadline.
 	r := <-j.result
@@ -258,11 +257,9 @@
 		}
 		if j.maybeStored {
 			s.markUnconfirmed(j.spec.ID)
-			j.answer(acceptResult{err: core.RefuseUnknown(core.CodeStoreUnavailable, j.ctx.Err(), "the store has not confirmed the job")})
+			j.answer(acceptResult{err: load.StoreSilent.Refuse(j.ctx.Err(), "the store has not confirmed the job")})
 		} else {
-			r := core.Refuse(core.CodeStoreUnavailable, "the store takes no jobs at present")
-			r.RetryAfter = clientRetryAfter
-			j.answer(acceptResult{err: s.refusal(j.spec.ID, r)})
+			j.answer(acceptResult{err: s.refusal(j.spec.ID, load.StoreClosed.Refuse(nil, "the store takes no jobs at present"))})
 		}
 	}
 	return retry
--- a/io/record/format_test.go
+++ b/io/record/format_test.go
@@ -18,6 +18,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/load"
 	"chicoryturn/core/policy"
 	"chicoryturn/io/record"
 	"chicoryturn/io/table"
@@ -176,7 +177,7 @@
 	checkAllSet(t, snap.Progress["full"], jobs.Progress{OlderRuns: map[int]int{1: 1}, Pages: []int{1}}) // that build had no others, Pages is not stored
 	checkAllSet(t, snap.Roster[0].WorkerInfo)                                                           // that build had no other fields
 	checkAllSet(t, snap.Roster[1].WorkerInfo)
-	checkAllSet(t, obs.Record, heldRecord(t)) // that build had no Held, Yields and Delay
+	checkAllSet(t, obs.Record, heldRecord(t)) // that build had no Held, Load, Yields and Delay
 
 	again := newFakeTable()
 	store = startStore(t, again)
@@ -202,7 +203,9 @@
 
 // heldRow is an ownership record with the fields that later builds have added.
 const heldRow = `{"Holder":"sched-1","VM":"entry-1","Addr":"10.0.0.2:72","Epoch":22,"Beat":23,"Stamp":24,` +
-	`"Held":{"Rest":25,"Own":29,"Shared":26,"Teams":{"red":{"Bytes":27,"Rate":28}}},"Yields":30,"Delay":31}`
+	`"Held":{"Rest":25,"Own":29,"Shared":26,"Teams":{"red":{"Bytes":27,"Rate":28}}},"Load":{"Made":"2026-03-04T05:06:07Z","Queues":{"bulk":{"Ahead":{"Cores":41,"Memory":42},"Room":{"Cores":43,"Memory":44},"Waiting":{"Cores":45,"Memory":46},"Free":{"Cores":49,"Memory":50},"Run":47,"Ratio":48}},` +
+	`"Teams":{"red":{"bulk":{"Ahead":{"Cores":51,"Memory":52},"Room":{"Cores":53,"Memory":54},"Waiting":{"Cores":55,"Memory":56},"Free":{"Cores":57,"Memory":58},"Run":59,"Ratio":60}}},` +
+	`"Idle":{"svc-1":{"Cores":[61,62],"Memory":[63]}}},"Yields":30,"Delay":31}`
 
 // heldRecord returns the record of heldRow.
 func heldRecord(t *testing.T) elect.Record {
@@ -241,12 +244,22 @@
 }
 
 // TestHeldFormat guards against a change of how the ownership record tells what the accepted
-// jobs take, and how many owners have yielded.
+// jobs take, what new ones wait for, and how many owners have yielded.
 func TestHeldFormat(t *testing.T) {
 	is := is.New(t)
 	rec := heldRecord(t)
 	is.Equal(rec.Held, &budget.Summary{Rest: 25, Own: 29, Shared: 26, Teams: map[core.Team]budget.TeamUse{"red": {Bytes: 27, Rate: 28}}})
 	is.Equal(rec.Yields, 30)
+	is.Equal(rec.Load, &load.Summary{
+		Made: second(7),
+		Queues: map[core.Queue]load.Line{"bulk": {
+			Ahead: load.Amount{Cores: 41, Memory: 42}, Room: load.Amount{Cores: 43, Memory: 44}, Waiting: load.Amount{Cores: 45, Memory: 46}, Free: load.Amount{Cores: 49, Memory: 50}, Run: 47, Ratio: 48,
+		}},
+		Teams: map[core.Team]map[core.Queue]load.Line{"red": {"bulk": {
+			Ahead: load.Amount{Cores: 51, Memory: 52}, Room: load.Amount{Cores: 53, Memory: 54}, Waiting: load.Amount{Cores: 55, Memory: 56}, Free: load.Amount{Cores: 57, Memory: 58}, Run: 59, Ratio: 60,
+		}}},
+		Idle: map[core.Service]load.Slots{"svc-1": {Cores: []int{61, 62}, Memory: []int{63}}},
+	})
 	tbl := newFakeTable()
 	_, err := startStore(t, tbl).Write(context.Background(), record.OwnerWrite{Record: rec})
 	is.NoErr(err)
--- a/io/record/load.go
+++ b/io/record/load.go
@@ -12,6 +12,7 @@
 	"chicoryturn/core/budget"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/load"
 	"chicoryturn/io/table"
 )
 
@@ -238,7 +239,7 @@
 		r := (&pendingJob{spec: spec}).resolveConflict(row)
 		return r.spec, r.err == nil, r.err
 	case s.maybeStored(spec.ID):
-		return jobs.Spec{}, false, core.RefuseUnknown(core.CodeStoreUnavailable, nil, "an earlier call may have stored the job")
+		return jobs.Spec{}, false, load.StoreSilent.Refuse(nil, "an earlier call may have stored the job")
 	}
 	return jobs.Spec{}, false, nil
 }
--- a/io/record/store.go
+++ b/io/record/store.go
@@ -20,6 +20,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/load"
 	"chicoryturn/io/table"
 )
 
@@ -43,10 +44,6 @@
 	// long when the store is slow. Even then 256 partitions accept 400 jobs a second
 	// if each comes from a different VM and needs its own transaction.
 	jobParts = 256
-	// clientRetryAfter is the delay after which refused clients should retry. It is
-	// short because a retry may go through another VM, and most network partitions leave
-	// some VMs connected to the store.
-	clientRetryAfter = time.Second
 )
 
 // NameError reports a row that holds the state of another job than its name says.
@@ -108,9 +105,7 @@
 // unreachableError returns the refusal of a call while the table cannot be reached.
 // Clients can retry through another VM instead of waiting for the table.
 func (s *Store) unreachableError() *core.RefusalError {
-	r := core.Refuse(core.CodeStoreUnavailable, "this VM cannot reach the store")
-	r.RetryAfter = clientRetryAfter
-	return r
+	return load.StoreUnreachable.Refuse(nil, "this VM cannot reach the store")
 }
 
 // RowSizeError reports a row that has not been written, since its value is larger than the
