Load: work of waiting gangs stands in front of gangs alone

Change: a line tells the work of waiting gangs apart, with their mean width; it counts only for gangs that are not much narrower. Thresholds are kept apart. Measured: TestDecisions and TestBacklog have the cases (narrow work behind gangs, and a gang behind gangs).

--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -38,15 +38,43 @@
 	priority int
 }
 
-// open is open work: what it still takes by team, and its tasks that may start at once.
+// open is open work.
 type open struct {
-	work    map[core.Team]work
+	// narrow is what it still takes by team, gangs what waiting gangs of several tasks take.
+	narrow, gangs map[core.Team]work
+	// waiting holds its tasks that may start at once.
 	waiting load.Waiting
+	// width is the sum of the room of the waiting gangs, gangCount their number.
+	width     work
+	gangCount int
+}
+
+func newOpen() *open { return &open{narrow: map[core.Team]work{}, gangs: map[core.Team]work{}} }
+
+// addAll adds all that other holds.
+func (o *open) addAll(other *open) {
+	for team, w := range other.narrow {
+		o.narrow[team] = o.narrow[team].add(w)
+	}
+	for team, w := range other.gangs {
+		o.gangs[team] = o.gangs[team].add(w)
+	}
+	o.waiting.AddAll(&other.waiting)
+	o.width, o.gangCount = o.width.add(other.width), o.gangCount+other.gangCount
 }
 
 // work is room times seconds.
 type work struct{ cores, memory float64 }
 
+// newWork returns the work of room for a number of seconds.
+func newWork(r core.Resources, seconds float64) work {
+	return work{float64(r.Cores) * seconds, float64(r.Memory) * seconds}
+}
+
+func (w work) amount() load.Amount { return load.NewAmount(w.cores, w.memory) }
+
+func (w work) add(o work) work { return work{w.cores + o.cores, w.memory + o.memory} }
+
 // serviceRoom is what the workers of a service have.
 type serviceRoom struct {
 	capacity core.Resources
@@ -71,15 +99,11 @@
 		if p.job.exceedsShare || now.Add(s.expectedTimeToEnd(p)).After(p.job.usefulUntil) {
 			continue
 		}
-		// Half of a run is left, on average.
-		seconds := runTime * (float64(p.tasksWaiting) + float64(p.tasksPlaced)/2)
-		r := rank{q.Service, q.Priority}
+		r, team := rank{q.Service, q.Priority}, p.job.Spec.Team
 		if ranks[r] == nil {
-			ranks[r], teams[r] = &open{work: map[core.Team]work{}}, map[core.Team]*teamOpen{}
+			ranks[r], teams[r] = newOpen(), map[core.Team]*teamOpen{}
 		}
-		team := p.job.Spec.Team
-		w := ranks[r].work[team]
-		ranks[r].work[team] = work{w.cores + seconds*float64(need.Cores), w.memory + seconds*float64(need.Memory)}
+		ranks[r].add(p, runTime)
 		if !p.startable() {
 			continue
 		}
@@ -94,6 +118,22 @@
 	return s.newSummary(now, rooms, ranks, teams)
 }
 
+// add adds the work of a phase.
+func (o *open) add(p *phase, seconds float64) {
+	team, need := p.job.Spec.Team, p.need()
+	// Half of a run is left, on average.
+	o.narrow[team] = o.narrow[team].add(newWork(need, seconds*float64(p.tasksPlaced)/2))
+	waiting := newWork(need, seconds*float64(p.tasksWaiting))
+	if !p.spec.Gang || p.spec.Count == 1 {
+		o.narrow[team] = o.narrow[team].add(waiting)
+		return
+	}
+	o.gangs[team] = o.gangs[team].add(waiting)
+	if p.tasksWaiting > 0 {
+		o.width, o.gangCount = o.width.add(newWork(need, float64(p.spec.Count))), o.gangCount+1
+	}
+}
+
 // teamOpen is the room that a team's waiting tasks would take within its limit.
 type teamOpen struct{ waiting load.Amount }
 
@@ -152,29 +192,34 @@
 		if room == nil {
 			continue
 		}
-		ahead := open{work: map[core.Team]work{}}
+		ahead := newOpen()
 		teamWaiting := map[core.Team]load.Amount{}
 		for r, o := range ranks {
 			if r.service != q.Service || r.priority > q.Priority {
 				continue
 			}
-			for team, w := range o.work {
-				sum := ahead.work[team]
-				ahead.work[team] = work{sum.cores + w.cores, sum.memory + w.memory}
-			}
+			ahead.addAll(o)
 			for team, t := range teams[r] {
 				teamWaiting[team] = teamWaiting[team].Add(t.waiting)
 			}
-			ahead.waiting.AddAll(&o.waiting)
 		}
 		line := load.Line{Room: load.RoomOf(room.capacity), Run: room.runTime(), Ratio: s.learnedRatio(name)}
-		line.Ahead = load.NewAmount(s.drained(ahead.work, room.capacity, coresOf), s.drained(ahead.work, room.capacity, memoryOf))
+		all := maps.Clone(ahead.narrow)
+		for team, w := range ahead.gangs {
+			all[team] = all[team].add(w)
+		}
+		line.Ahead = s.drainedBy(room.capacity, ahead.narrow)
+		line.Gangs = s.drainedBy(room.capacity, all).Sub(line.Ahead)
+		if n := float64(ahead.gangCount); n > 0 {
+			line.Width = load.NewAmount(ahead.width.cores/n, ahead.width.memory/n)
+		}
 		line.Waiting = ahead.waiting.In(room.idle)
 		b.AddQueue(q.Service, name, line, room.idle)
-		for team, w := range ahead.work {
+		for team := range all {
 			if t := s.policy.Teams[team]; t != nil && (t.Limit.Cores > 0 || t.Limit.Memory > 0) {
 				own := line
-				own.Room, own.Ahead, own.Waiting = load.RoomOf(t.Limit), load.NewAmount(w.cores, w.memory), teamWaiting[team]
+				own.Room, own.Ahead, own.Waiting = load.RoomOf(t.Limit), ahead.narrow[team].amount(), teamWaiting[team]
+				own.Gangs = ahead.gangs[team].amount()
 				own.Free = load.RoomOf(t.Limit.Sub(s.used[team]))
 				b.AddTeam(team, name, own)
 			}
@@ -194,6 +239,11 @@
 func coresOf(r core.Resources, w work) (room, sum float64)  { return float64(r.Cores), w.cores }
 func memoryOf(r core.Resources, w work) (room, sum float64) { return float64(r.Memory), w.memory }
 
+// drainedBy is drained in both dimensions.
+func (s *Scheduler) drainedBy(capacity core.Resources, open map[core.Team]work) load.Amount {
+	return load.NewAmount(s.drained(open, capacity, coresOf), s.drained(open, capacity, memoryOf))
+}
+
 // drained returns the work that is done in the capacity before all of it is: no team's work takes
 // more than the team's limit, and what is left of it then stands in front of nobody else.
 func (s *Scheduler) drained(open map[core.Team]work, capacity core.Resources, of dimension) float64 {
--- a/core/fleet/load_test.go
+++ b/core/fleet/load_test.go
@@ -52,17 +52,18 @@
 		change func(*jobs.Spec)
 		// age is how long the jobs wait.
 		age time.Duration
-		// queue and low are the expected waits of new jobs in seconds.
-		queue, low float64
+		// queue and low are the expected waits of new jobs in seconds, gang that of a gang.
+		queue, low, gang float64
 	}{
-		"no work":             {load.WarmUp, 0, nil, 0, 0, 0},
-		"work that fits":      {load.WarmUp, 1, nil, 0, 0, 0},
-		"ten seconds of work": {load.WarmUp, 10, nil, 0, 9.5, 9.5},
-		"first seconds":       {load.WarmUp - time.Millisecond, 10, nil, 0, 0, 0},
-		"lower priority":      {load.WarmUp, 10, inQueue("low"), 0, 0, 9.5},
-		"useless":             {load.WarmUp, 10, nil, 70 * time.Second, 0, 0},
-		"other workers only":  {load.WarmUp, 10, func(s *jobs.Spec) { s.Phases[0].Label = "x" }, 0, 0, 0},
-		"team at its limit":   {load.WarmUp, 10, func(s *jobs.Spec) { s.Team = "c" }, 0, 0, 0},
+		"no work":             {load.WarmUp, 0, nil, 0, 0, 0, 0},
+		"work that fits":      {load.WarmUp, 1, nil, 0, 0, 0, 0},
+		"ten seconds of work": {load.WarmUp, 10, nil, 0, 9.5, 9.5, 9.5},
+		"first seconds":       {load.WarmUp - time.Millisecond, 10, nil, 0, 0, 0, 0},
+		"lower priority":      {load.WarmUp, 10, inQueue("low"), 0, 0, 9.5, 0},
+		"useless":             {load.WarmUp, 10, nil, 70 * time.Second, 0, 0, 0},
+		"other workers only":  {load.WarmUp, 10, func(s *jobs.Spec) { s.Phases[0].Label = "x" }, 0, 0, 0, 0},
+		"team at its limit":   {load.WarmUp, 10, func(s *jobs.Spec) { s.Team = "c" }, 0, 0, 0, 0},
+		"gangs":               {load.WarmUp, 10, func(s *jobs.Spec) { s.Phases[0].Gang = true }, 0, 0.5, 0.5, 9.5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -77,10 +78,13 @@
 				if s == nil {
 					return 0
 				}
-				return s.Queues[q].Wait().Seconds()
+				return s.Queues[q].Wait(false).Seconds()
 			}
 			is.Equal(wait("q"), c.queue)
 			is.Equal(wait("low"), c.low)
+			if s != nil {
+				is.Equal(s.Queues["q"].Wait(true).Seconds(), c.gang)
+			}
 			is.Equal(s != nil && s.Teams["c"] != nil, name == "team at its limit")
 			if s == nil || len(s.Queues) == 0 {
 				return
@@ -100,7 +104,7 @@
 	f.accept(1, 8, func(s *jobs.Spec) { s.Team = "c" })
 	s := f.Backlog(f.now)
 	is.Equal(len(s.Queues), 0)
-	is.Equal(s.Teams["c"]["q"].Wait(), 7500*time.Millisecond)
+	is.Equal(s.Teams["c"]["q"].Wait(false), 7500*time.Millisecond)
 	is.Equal(s.Teams["c"]["q"].Free, load.Amount{})
 	is.Equal(s.Teams["t"], nil)
 }
--- a/core/load/build.go
+++ b/core/load/build.go
@@ -12,7 +12,7 @@
 // 64 KiB with what up to 256 teams take of the owner's memory.
 const (
 	maxBytes  = 12 << 10
-	lineBytes = 340
+	lineBytes = 470
 	// slotBytes is what a number in Slots takes, escapedByte a byte of a name at most.
 	slotBytes   = 8
 	escapedByte = 6
@@ -36,7 +36,7 @@
 
 // AddQueue adds what new jobs of a queue wait for, with the free room of its service.
 func (b *Builder) AddQueue(service core.Service, q core.Queue, l Line, idle Slots) {
-	b.add(entry{line{queue: q}, l, service, idle})
+	b.add(entry{line{"", q}, l, service, idle})
 }
 
 // AddTeam adds what new jobs of a team wait for in a queue under its limit.
@@ -45,7 +45,7 @@
 }
 
 func (b *Builder) add(e entry) {
-	if e.value.Wait() >= MinWait {
+	if e.value.Wait(true) >= MinWait {
 		b.entries = append(b.entries, e)
 	}
 }
@@ -54,7 +54,7 @@
 // nil if there are none. Jobs without a line are accepted.
 func (b *Builder) Summary() *Summary {
 	slices.SortFunc(b.entries, func(x, y entry) int {
-		return cmp.Or(cmp.Compare(x.team, ""), cmp.Compare(y.value.Wait(), x.value.Wait()), cmp.Compare(x.team, y.team), cmp.Compare(x.queue, y.queue))
+		return cmp.Or(cmp.Compare(x.team, ""), cmp.Compare(y.value.Wait(true), x.value.Wait(true)), cmp.Compare(x.team, y.team), cmp.Compare(x.queue, y.queue))
 	})
 	out := &Summary{Made: b.made, Queues: map[core.Queue]Line{}, Teams: map[core.Team]map[core.Queue]Line{}, Idle: map[core.Service]Slots{}}
 	bytes := 0
--- a/core/load/door.go
+++ b/core/load/door.go
@@ -52,8 +52,8 @@
 	paused bool
 	// accepted is the work of the jobs that this VM has accepted since, by team and queue.
 	accepted map[line]Amount
-	// thresholds holds, by queue and by team and queue, which jobs are refused.
-	thresholds map[line]threshold
+	// thresholds holds, by line, which jobs are refused.
+	thresholds map[queue]threshold
 }
 
 // line names a line of a summary; team is empty for that of a queue.
@@ -62,6 +62,12 @@
 	queue core.Queue
 }
 
+// queue names those who wait by a line: narrow work or gangs.
+type queue struct {
+	line
+	gang bool
+}
+
 // threshold is the slack below which jobs are refused. It follows the wait with play: it rises
 // when the wait is above beginLevel times it, and falls when that is below endLevel times it. So once a
 // job was refused, one like it is accepted only when the wait has fallen by a fifth.
@@ -73,7 +79,7 @@
 }
 
 // NewDoor returns a door without a summary, which accepts all jobs.
-func NewDoor() *Door { return &Door{accepted: map[line]Amount{}, thresholds: map[line]threshold{}} }
+func NewDoor() *Door { return &Door{accepted: map[line]Amount{}, thresholds: map[queue]threshold{}} }
 
 // Observe handles the summary in a version of the ownership record; nil if the owner tells of no
 // wait. Several versions may hold the same summary.
@@ -91,12 +97,12 @@
 		d.paused, d.observedAt = false, now-staleAfter-1
 		return
 	}
-	for l, t := range d.thresholds {
-		found, ok := s.line(l)
-		if t = t.follow(found.Wait()); ok && t > 0 {
-			d.thresholds[l] = t
+	for q, t := range d.thresholds {
+		found, ok := s.line(q.line)
+		if t = t.follow(found.Wait(q.gang)); ok && t > 0 {
+			d.thresholds[q] = t
 		} else {
-			delete(d.thresholds, l)
+			delete(d.thresholds, q)
 		}
 	}
 }
@@ -152,9 +158,10 @@
 
 // decideLine decides on a job by one line.
 func (d *Door) decideLine(out Decision, l line, found Line, j Job, wall time.Time) Decision {
-	out.Wait, out.Slack = found.Wait(), found.slack(j, wall)
-	t := d.thresholds[l].follow(out.Wait)
-	d.thresholds[l] = t
+	q := queue{l, found.standsBehind(j)}
+	out.Wait, out.Slack = found.Wait(q.gang), found.slack(j, wall)
+	t := d.thresholds[q].follow(out.Wait)
+	d.thresholds[q] = t
 	out.Reason = InTime
 	switch {
 	case out.Slack >= time.Duration(t):
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -11,8 +11,8 @@
 )
 
 // The thresholds of admission. The estimate of a wait is a lower bound: it counts only work of
-// equal or higher rank that is still useful, against all room of the service, and nothing that is
-// accepted later.
+// equal or higher rank that is still useful and has been opened, as if all room of the service did nothing
+// else, and nothing that is accepted later.
 const (
 	// beginLevel is the estimated wait, over the time that a job may wait and still be useful, from
 	// which on such jobs are refused; endLevel is that at which refusals end. Most run times are
@@ -61,6 +61,11 @@
 	return Amount{min(a.Cores+o.Cores, maxAmount), min(a.Memory+o.Memory, maxAmount)}
 }
 
+// Sub returns a minus o, at least 0.
+func (a Amount) Sub(o Amount) Amount {
+	return Amount{max(a.Cores-o.Cores, 0), max(a.Memory-o.Memory, 0)}
+}
+
 // Over returns the time in which room that is not zero does the work a.
 func (a Amount) Over(room Amount) time.Duration {
 	seconds := 0.0
@@ -93,6 +98,10 @@
 	// Ahead is the open work in front of a new job, Room what does that work: the workers of the
 	// service, or the limit of the team. An amount of 0 in Room bounds nothing.
 	Ahead, Room Amount
+	// Gangs is the work of gangs that stands only in front of gangs, since narrower work is started while
+	// a gang waits until all of its room is free. Width is the mean room of these gangs.
+	Gangs Amount `json:",omitzero"`
+	Width Amount `json:",omitzero"`
 	// Waiting is the room that tasks in front of a new job wait for, and that they would take at once.
 	Waiting Amount
 	// Free is what the team's limit leaves; 0 in the line of a queue.
@@ -104,8 +113,18 @@
 }
 
 // Wait returns the expected time from the acceptance of a new job to the first start of any of its
-// tasks, without what its width adds.
-func (l Line) Wait() time.Duration { return l.Ahead.Over(l.Room) }
+// tasks, for a gang without what its own width adds.
+func (l Line) Wait(gang bool) time.Duration {
+	ahead := l.Ahead
+	if gang {
+		ahead = ahead.Add(l.Gangs)
+	}
+	return ahead.Over(l.Room)
+}
+
+// standsBehind reports whether the job waits for the gangs as well: much narrower gangs are started
+// while wide ones wait.
+func (l Line) standsBehind(j Job) bool { return j.Wide.Cores > 0 && j.Wide.Cores >= l.Width.Cores/2 }
 
 // Gather returns the expected time in which room for wide comes together, once it is the turn of
 // a gang: at the rate at which the tasks that hold the room end.
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -62,6 +62,8 @@
 		l.Waiting = load.Amount{Cores: cores}
 		return l
 	}
+	behindGangs := newLine(time.Second)
+	behindGangs.Gangs, behindGangs.Width = load.NewAmount(3600*fleetCores, 0), load.NewAmount(20_000, 0)
 	slow := newLine(13 * time.Second)
 	slow.Ratio = 2
 	for name, c := range map[string]struct {
@@ -84,6 +86,9 @@
 		"pieces too small":                {newSummary(1, newLine(time.Hour), 800), newJob("j", 1, false), 0, load.QueueBehind},
 		"room for a gang":                 {newSummary(1, newLine(time.Hour), 2000), newJob("j", 20, true), 0, load.Room},
 		"no room for the whole gang":      {newSummary(1, newLine(time.Hour), 1900), newJob("j", 20, true), 0, load.QueueBehind},
+		"gangs in front of narrow work":   {newSummary(1, behindGangs, 0), newJob("j", 25, false), 0, load.InTime},
+		"gangs in front of a gang":        {newSummary(1, behindGangs, 0), newJob("j", 20, true), 0, load.QueueBehind},
+		"gangs in front of a narrow gang": {newSummary(1, behindGangs, 0), newJob("j", 4, true), 0, load.InTime},
 		"repeated":                        {newSummary(1, newLine(time.Hour), 0), repeated, 0, load.NoEstimate},
 		"long-running":                    {newSummary(1, newLine(time.Hour), 0), longRunning, 0, load.NoEstimate},
 		"another queue":                   {newSummary(1, newLine(time.Hour), 0), func() load.Job { j := newJob("j", 1, false); j.Queue = "other"; return j }(), 0, load.NoEstimate},
@@ -373,7 +378,7 @@
 	for range 13_000 {
 		idle.Add(core.Resources{Cores: 1 << 40, Memory: 1 << 40})
 	}
-	line := load.Line{Ahead: load.NewAmount(1e300, 1e300), Room: load.NewAmount(1, 1), Waiting: load.NewAmount(1e300, 1e300), Free: load.NewAmount(1e300, 1e300), Run: time.Hour * 1e6, Ratio: 1.0 / 3}
+	line := load.Line{Ahead: load.NewAmount(1e300, 1e300), Room: load.NewAmount(1, 1), Waiting: load.NewAmount(1e300, 1e300), Free: load.NewAmount(1e300, 1e300), Gangs: load.NewAmount(1e300, 1e300), Width: load.NewAmount(1e300, 1e300), Run: time.Hour * 1e6, Ratio: 1.0 / 3}
 	for i := range 100 {
 		name := core.Queue(strings.Repeat("\x01", 20) + fmt.Sprint(i))
 		b.AddQueue(core.Service(name), name, line, idle)
--- a/io/owner/load_test.go
+++ b/io/owner/load_test.go
@@ -57,7 +57,7 @@
 		}
 		is.True(time.Since(began) >= load.WarmUp)
 		is.Equal(epoch, core.Epoch(1))
-		is.True(told.Queues["q"].Wait() > 30*time.Minute)
+		is.True(told.Queues["q"].Wait(false) > 30*time.Minute)
 		return
 	}
 	t.Fatal("the record tells nothing")
--- a/io/record/format_test.go
+++ b/io/record/format_test.go
@@ -203,8 +203,8 @@
 
 // heldRow is an ownership record with the fields that later builds have added.
 const heldRow = `{"Holder":"sched-1","VM":"entry-1","Addr":"10.0.0.2:72","Epoch":22,"Beat":23,"Stamp":24,` +
-	`"Held":{"Rest":25,"Own":29,"Shared":26,"Teams":{"red":{"Bytes":27,"Rate":28}}},"Load":{"Made":"2026-03-04T05:06:07Z","Queues":{"bulk":{"Ahead":{"Cores":41,"Memory":42},"Room":{"Cores":43,"Memory":44},"Waiting":{"Cores":45,"Memory":46},"Free":{"Cores":49,"Memory":50},"Run":47,"Ratio":48}},` +
-	`"Teams":{"red":{"bulk":{"Ahead":{"Cores":51,"Memory":52},"Room":{"Cores":53,"Memory":54},"Waiting":{"Cores":55,"Memory":56},"Free":{"Cores":57,"Memory":58},"Run":59,"Ratio":60}}},` +
+	`"Held":{"Rest":25,"Own":29,"Shared":26,"Teams":{"red":{"Bytes":27,"Rate":28}}},"Load":{"Made":"2026-03-04T05:06:07Z","Queues":{"bulk":{"Ahead":{"Cores":41,"Memory":42},"Room":{"Cores":43,"Memory":44},"Gangs":{"Cores":64,"Memory":65},"Width":{"Cores":66,"Memory":67},"Waiting":{"Cores":45,"Memory":46},"Free":{"Cores":49,"Memory":50},"Run":47,"Ratio":48}},` +
+	`"Teams":{"red":{"bulk":{"Ahead":{"Cores":51,"Memory":52},"Room":{"Cores":53,"Memory":54},"Gangs":{"Cores":68,"Memory":69},"Width":{"Cores":70,"Memory":71},"Waiting":{"Cores":55,"Memory":56},"Free":{"Cores":57,"Memory":58},"Run":59,"Ratio":60}}},` +
 	`"Idle":{"svc-1":{"Cores":[61,62],"Memory":[63]}}},"Yields":30,"Delay":31}`
 
 // heldRecord returns the record of heldRow.
@@ -253,10 +253,10 @@
 	is.Equal(rec.Load, &load.Summary{
 		Made: second(7),
 		Queues: map[core.Queue]load.Line{"bulk": {
-			Ahead: load.Amount{Cores: 41, Memory: 42}, Room: load.Amount{Cores: 43, Memory: 44}, Waiting: load.Amount{Cores: 45, Memory: 46}, Free: load.Amount{Cores: 49, Memory: 50}, Run: 47, Ratio: 48,
+			Ahead: load.Amount{Cores: 41, Memory: 42}, Room: load.Amount{Cores: 43, Memory: 44}, Gangs: load.Amount{Cores: 64, Memory: 65}, Width: load.Amount{Cores: 66, Memory: 67}, Waiting: load.Amount{Cores: 45, Memory: 46}, Free: load.Amount{Cores: 49, Memory: 50}, Run: 47, Ratio: 48,
 		}},
 		Teams: map[core.Team]map[core.Queue]load.Line{"red": {"bulk": {
-			Ahead: load.Amount{Cores: 51, Memory: 52}, Room: load.Amount{Cores: 53, Memory: 54}, Waiting: load.Amount{Cores: 55, Memory: 56}, Free: load.Amount{Cores: 57, Memory: 58}, Run: 59, Ratio: 60,
+			Ahead: load.Amount{Cores: 51, Memory: 52}, Room: load.Amount{Cores: 53, Memory: 54}, Gangs: load.Amount{Cores: 68, Memory: 69}, Width: load.Amount{Cores: 70, Memory: 71}, Waiting: load.Amount{Cores: 55, Memory: 56}, Free: load.Amount{Cores: 57, Memory: 58}, Run: 59, Ratio: 60,
 		}}},
 		Idle: map[core.Service]load.Slots{"svc-1": {Cores: []int{61, 62}, Memory: []int{63}}},
 	})
