Load: gangs that a VM has accepted do not stand in front of narrow work

Cause: what a VM had accepted since the last summary counted in front of all jobs, while waiting gangs of the summary count for gangs alone. Change: it is kept apart as well. Measured: TestAcceptedCounts fails before (a narrow job was refused behind 100 gangs) and passes after.

--- a/core/load/door.go
+++ b/core/load/door.go
@@ -50,8 +50,8 @@
 	observedAt time.Duration
 	// paused is set after a pause until a summary has been observed.
 	paused bool
-	// accepted is the work of the jobs that this VM has accepted since, by team and queue.
-	accepted map[line]Amount
+	// accepted is the work of the jobs that this VM has accepted since, by line.
+	accepted map[queue]Amount
 	// thresholds holds, by line, which jobs are refused.
 	thresholds map[queue]threshold
 }
@@ -79,7 +79,7 @@
 }
 
 // NewDoor returns a door without a summary, which accepts all jobs.
-func NewDoor() *Door { return &Door{accepted: map[line]Amount{}, thresholds: map[queue]threshold{}} }
+func NewDoor() *Door { return &Door{accepted: map[queue]Amount{}, thresholds: map[queue]threshold{}} }
 
 // Observe handles the summary in a version of the ownership record; nil if the owner tells of no
 // wait. Several versions may hold the same summary.
@@ -127,7 +127,8 @@
 	}
 	for _, l := range []line{{"", j.Queue}, {j.Team, j.Queue}} {
 		if _, ok := d.summary.line(l); ok {
-			d.accepted[l] = d.accepted[l].Add(j.Work)
+			q := queue{l, j.Wide.Cores > 0}
+			d.accepted[q] = d.accepted[q].Add(j.Work)
 		}
 	}
 }
@@ -147,7 +148,8 @@
 		if !ok {
 			continue
 		}
-		found.Ahead = found.Ahead.Add(d.accepted[l])
+		found.Ahead = found.Ahead.Add(d.accepted[queue{l, false}])
+		found.Gangs = found.Gangs.Add(d.accepted[queue{l, true}])
 		out = d.decideLine(out, l, found, j, wall)
 		if out.Refused() {
 			return out
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -145,6 +145,14 @@
 	}
 	// A job takes half a second of the fleet, and 1.5 s are left.
 	is.Equal(accepted, 4)
+	// Gangs stand in front of gangs alone.
+	gangs := load.NewDoor()
+	gangs.Observe(0, s)
+	for range 100 {
+		gangs.Accepted(newJob("j", 25, true))
+	}
+	is.Equal(gangs.Decide(0, day, newJob("j", 25, false)).Reason, load.InTime)
+	is.Equal(gangs.Decide(0, day, newJob("j", 25, true)).Reason, load.QueueBehind)
 	d.Observe(2*time.Second, s)
 	is.Equal(d.Decide(3*time.Second, day, newJob("j", 1, false)).Reason, load.QueueBehind)
 	is.Equal(d.Decide(4*time.Second, day, newJob("j", 1, false)).Reason, load.Stale)
