--- a/core/load/load.go
+++ b/core/load/load.go
@@ -36,7 +36,7 @@
 	// minSlackDivisor is the part of a job's useful time, as its divisor, that it may wait at
 	// least, whatever it declares. It bounds what the width of a gang adds.
 	minSlackDivisor = 2
-	// turnTime is the time after which a gang's turn changes; see gather.
+	// turnTime is the time after which a gang's turn changes; see hasTurn.
 	turnTime = time.Minute
 )
 
