--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -159,6 +159,7 @@
 	rooms   rooms
 	placing turns[*group]
 	round   adviceRound
+	backlog backlog
 	// needsPlacement is set when a change may let waiting tasks start.
 	needsPlacement bool
 	// progressSeen is set once any worker has reported progress of a run.
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -6,10 +6,15 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"chicoryturn/core"
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
+	"chicoryturn/core/load"
 )
 
+// estimateAge is updated for each submission.
+var estimateAge = metrics.NewGauge("chicoryturn_estimate_age_seconds", nil)
+
 // Meter writes to the process's metrics.
 type Meter struct{}
 
@@ -21,6 +26,14 @@
 	m.seconds.Update(took.Seconds())
 }
 
+// Refused counts a job that was refused since it can't end while it is useful.
+func (Meter) Refused(q core.Queue, reason load.Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`chicoryturn_refused_total{queue=%q,reason=%q}`, q, reason)).Inc()
+}
+
+// EstimateAge sets the age of the estimate that the last decision on a job rests on.
+func (Meter) EstimateAge(age time.Duration) { estimateAge.Set(age.Seconds()) }
+
 // Counts sets the totals of the owner's decisions.
 func (Meter) Counts(c fleet.Counts) {
 	starts().Set(c.Starts)
