--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -9,6 +9,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/policy"
+	"chicoryturn/core/rank"
 )
 
 const (
@@ -40,6 +41,8 @@
 	// waitLogInterval the time between two such lines.
 	waitLogDelay    = time.Second
 	waitLogInterval = 2 * time.Second
+	// coreUnits is a core in the unit of core.Resources.
+	coreUnits = 1000
 	// tickInterval is the longest interval between two checks of leases and due
 	// times.
 	tickInterval = 100 * time.Millisecond
@@ -73,48 +76,29 @@
 	s.repeatStops()
 }
 
-// rankedPhase is a phase with its sort keys for placement.
+// rankedPhase is a phase with its place in the order of placement.
 type rankedPhase struct {
 	phase *phase
-	// lateness is 0 if the job can end on time, 1 if its end can still be
-	// useful, and 2 if not or if the job exceeds its team's share.
-	lateness int
-	priority int
-	// latestStart is the latest start that meets the job's deadline.
-	latestStart time.Time
+	key   rank.Key
 }
 
-// rank returns the phase with its sort keys.
+// rank returns the phase with its place in the order.
 func (s *Scheduler) rank(p *phase) rankedPhase {
-	r := rankedPhase{phase: p}
 	timeToEnd := s.expectedTimeToEnd(p)
 	timeToEnd += timeToEnd/marginDivisor + minMargin
-	switch end := s.now.Add(timeToEnd); {
-	case p.job.exceedsShare:
-		r.lateness = 2
-	case !end.After(p.job.deadline):
-	case !end.After(p.job.usefulUntil):
-		r.lateness = 1
-	default:
-		r.lateness = 2
-	}
-	r.latestStart = p.job.deadline.Add(-timeToEnd)
+	c := rank.Claim{
+		Ends: s.now.Add(timeToEnd), Deadline: p.job.deadline, UsefulUntil: p.job.usefulUntil, Surplus: p.surplus,
+		Work: float64(p.tasksLeft) * float64(p.need().Cores) * s.estimator.Predict(p.job.Spec.Queue, p.spec.Estimate).Seconds() / coreUnits,
+	}
 	if g := p.group(); g != nil {
-		r.priority = g.queue.Priority
+		c.Priority = g.queue.Priority
 	}
-	return r
+	return rankedPhase{p, c.Key()}
 }
 
-// compare orders phases, the most urgent first: work that can still be on time before late
-// work, then by the queue's priority, then by the latest start that meets the deadline.
+// compare orders phases, the most urgent first.
 func (r *rankedPhase) compare(o *rankedPhase) int {
-	if c := cmp.Compare(r.lateness, o.lateness); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(r.priority, o.priority); c != 0 {
-		return c
-	}
-	if c := r.latestStart.Compare(o.latestStart); c != 0 {
+	if c := r.key.Compare(o.key); c != 0 {
 		return c
 	}
 	return cmp.Or(cmp.Compare(r.phase.job.seq, o.phase.job.seq), cmp.Compare(r.phase.firstPosition, o.phase.firstPosition))
