--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -51,6 +51,9 @@
 	lastLimit core.Resources
 	// waitLoggedAt is when it was last logged that an occurrence waits for memory.
 	waitLoggedAt time.Time
+	// exceedsShare is set if the team submitted the job in excess of its share
+	// of a full fleet.
+	exceedsShare bool
 }
 
 // add adds a job without building any of its occurrences.
@@ -66,6 +69,7 @@
 	if t := spec.Terms; t != nil {
 		j.lastQueue, j.lastLimit = t.QueueOf(spec.Queue), t.Limit
 	}
+	j.exceedsShare = s.exceedsShare(spec.Team, j.acceptedAt)
 	j.setDeadlines()
 	s.jobs[spec.ID] = j
 	s.accepted.Charge(spec.Team, spec.Bytes())
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -97,7 +97,7 @@
 		runTime := s.estimator.Predict(p.job.Spec.Queue, p.spec.Estimate).Seconds()
 		need := p.need()
 		rooms[q.Service].addRuns(float64(p.tasksPlaced)*float64(need.Cores), runTime)
-		if now.Add(s.expectedTimeToEnd(p)).After(p.job.usefulUntil) {
+		if p.job.exceedsShare || now.Add(s.expectedTimeToEnd(p)).After(p.job.usefulUntil) {
 			continue
 		}
 		r, team := precedence{q.Service, q.Priority}, p.job.Spec.Team
--- a/core/fleet/phase.go
+++ b/core/fleet/phase.go
@@ -43,9 +43,7 @@
 	isTicketed bool
 	// timeToEnd is the expected time from the phase's start to the job's end,
 	// computed at timeToEndAt.
-	timeToEnd time.Duration
-	// surplus is by how much its team exceeds its share; see rank.Surplus.
-	surplus     int
+	timeToEnd   time.Duration
 	timeToEndAt time.Time
 	// waitLoggedAt is when the reason for waiting was last logged.
 	waitLoggedAt time.Time
@@ -61,9 +59,6 @@
 
 func (p *phase) open() {
 	p.isOpen, p.openedAt = true, p.job.scheduler.now
-	if q := p.queue(); q != nil {
-		p.surplus = p.job.scheduler.surplusOf[teamRoom{q.Service, p.job.Spec.Team}]
-	}
 	p.job.scheduler.open.add(p)
 	p.job.scheduler.needsPlacement = true
 }
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -87,7 +87,7 @@
 	timeToEnd := s.expectedTimeToEnd(p)
 	timeToEnd += timeToEnd/marginDivisor + minMargin
 	c := rank.Claim{
-		Ends: s.now.Add(timeToEnd), Deadline: p.job.deadline, UsefulUntil: p.job.usefulUntil, Surplus: p.surplus,
+		Ends: s.now.Add(timeToEnd), Deadline: p.job.deadline, UsefulUntil: p.job.usefulUntil, Surplus: p.job.exceedsShare,
 		Work: float64(p.tasksLeft) * float64(p.need().Cores) * s.estimator.Predict(p.job.Spec.Queue, p.spec.Estimate).Seconds() / coreUnits,
 	}
 	if g := p.group(); g != nil {
--- a/core/fleet/room.go
+++ b/core/fleet/room.go
@@ -105,7 +105,6 @@
 		m.forget()
 	}
 	s.open.updateGroups(m.generation)
-	s.updateSurplus()
 	for _, r := range m.services {
 		r.workers, r.maxFree = r.workers[:0], core.Resources{}
 	}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -58,13 +58,9 @@
 	startedAt time.Time
 	// exhaustive makes each pass examine all open phases and workers.
 	exhaustive bool
-	// surplusAt is when the room was last divided among the teams; surplusOf is the surplus of what a
-	// team has submitted since then.
-	surplusAt time.Time
-	surplusOf map[teamRoom]int
-	limits    Limits
-	policy    *policy.Policy
-	estimator *cell.Estimator
+	limits     Limits
+	policy     *policy.Policy
+	estimator  *cell.Estimator
 
 	jobs    map[core.JobID]*Job
 	workers map[core.WorkerID]*Worker
@@ -106,6 +102,7 @@
 	// unreportedCapacity is the total capacity of the workers that have not
 	// reported. It is updated only while tasks are unresolved.
 	unreportedCapacity core.Resources
+	shares             map[core.Team]*teamShare
 	// adviceStats counts how many of the workers named for a queue were
 	// allowed.
 	adviceStats map[core.Queue]adviceStats
@@ -198,7 +195,7 @@
 		limits:    limits.bounded(), policy: p, estimator: cell.NewEstimator(),
 		jobs: map[core.JobID]*Job{}, workers: map[core.WorkerID]*Worker{}, misdirected: misdirected{},
 		due: map[core.Team]dueQueue{}, rooms: newRooms(),
-		used: map[core.Team]core.Resources{}, surplusOf: map[teamRoom]int{}, adviceStats: map[core.Queue]adviceStats{},
+		used: map[core.Team]core.Resources{}, shares: map[core.Team]*teamShare{}, adviceStats: map[core.Queue]adviceStats{},
 		unresolved: map[*Task]struct{}{}, unresolvedNeed: map[core.Team]core.Resources{}, heldPhases: map[*phase]struct{}{},
 		accepted: budget.New(0, 0), built: budget.New(0, 0), placed: budget.New(0, 0), advised: budget.New(0, 0),
 		adviceFreedAt: map[core.Team]time.Time{}, starts: budget.New(0, 0), startTeams: map[startID]core.Team{},
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -22,10 +22,6 @@
 	Useless
 )
 
-// lateSurplus is the surplus from which on work ranks with late work: its team holds and waits for
-// four times its share.
-const lateSurplus = 3
-
 // Claim is what the place of a phase depends on.
 type Claim struct {
 	// Ends is when its job is expected to end if the phase starts now.
@@ -34,8 +30,8 @@
 	Deadline, UsefulUntil time.Time
 	// Priority is that of its queue; 0 comes first.
 	Priority int
-	// Surplus is by how much its team exceeds its share; see Surplus.
-	Surplus int
+	// Surplus is set if its team has submitted the job in excess of its share.
+	Surplus bool
 	// Work is what the tasks that have not succeeded take, in core-seconds.
 	Work float64
 }
@@ -44,7 +40,7 @@
 type Key struct {
 	class    Class
 	priority int
-	surplus  int
+	surplus  bool
 	// size is the power of two of the work. Predictions change a little all the time, which must
 	// not change the order of like jobs.
 	size  int
@@ -58,7 +54,7 @@
 		k.size = int(math.Log2(c.Work))
 	}
 	switch {
-	case !c.Ends.After(c.Deadline) && c.Surplus < lateSurplus:
+	case !c.Ends.After(c.Deadline):
 		k.class = OnTime
 	case !c.Ends.After(c.UsefulUntil):
 		k.class = Late
@@ -76,8 +72,11 @@
 	if c := cmp.Compare(k.priority, o.priority); c != 0 {
 		return c
 	}
-	if c := cmp.Compare(k.surplus, o.surplus); c != 0 {
-		return c
+	if k.surplus != o.surplus {
+		if o.surplus {
+			return -1
+		}
+		return 1
 	}
 	if c := cmp.Compare(k.size, o.size); c != 0 {
 		return c
