Rank: on-time work before late work, and within a priority what must start now, then the smaller

Cause: the order of placement put a team's surplus behind all late work, and took no account of the work that a job needs, so that in an overload most jobs were late. Change: core/rank decides by class, priority, share, urgency, size and slack; the owner's summary for admission uses its classes. TestStartOrder expects on-time surplus before late work now: late work has lost four fifths of its worth. Log field class, metric chicoryturn_phases_waiting.

--- a/core/fleet/decision.go
+++ b/core/fleet/decision.go
@@ -48,6 +48,8 @@
 	// record when the order was given or the decision made.
 	Epoch     core.Epoch
 	Confirmed time.Duration
+	// Class says of a phase that waits whether its job can still be on time; see rank.Class.
+	Class string
 	// LastEnd is the number of a run's end on its worker, or of the last of the ends that
 	// an acknowledgement covers from FirstEnd on; both are 0 for other decisions.
 	FirstEnd, LastEnd uint64
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -10,6 +10,7 @@
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/load"
 	"chicoryturn/core/policy"
+	"chicoryturn/core/rank"
 )
 
 // This file tells the VMs that accept jobs how long a new one waits for its first start.
@@ -97,7 +98,7 @@
 		runTime := s.estimator.Predict(p.job.Spec.Queue, p.spec.Estimate).Seconds()
 		need := p.need()
 		rooms[q.Service].addRuns(float64(p.tasksPlaced)*float64(need.Cores), runTime)
-		if p.job.exceedsShare || now.Add(s.expectedTimeToEnd(p)).After(p.job.usefulUntil) {
+		if p.job.exceedsShare || s.claim(p).Class() == rank.Useless {
 			continue
 		}
 		r, team := precedence{q.Service, q.Priority}, p.job.Spec.Team
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -83,7 +83,10 @@
 }
 
 // rank returns the phase with its place in the order.
-func (s *Scheduler) rank(p *phase) rankedPhase {
+func (s *Scheduler) rank(p *phase) rankedPhase { return rankedPhase{p, s.claim(p).Key()} }
+
+// claim returns what the place of a phase in the order depends on.
+func (s *Scheduler) claim(p *phase) rank.Claim {
 	timeToEnd := s.expectedTimeToEnd(p)
 	timeToEnd += timeToEnd/marginDivisor + minMargin
 	c := rank.Claim{
@@ -93,7 +96,7 @@
 	if g := p.group(); g != nil {
 		c.Priority = g.queue.Priority
 	}
-	return rankedPhase{p, c.Key()}
+	return c
 }
 
 // compare orders phases, the most urgent first.
@@ -366,7 +369,7 @@
 		return
 	}
 	p.waitLoggedAt = s.now
-	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: s.now.Sub(p.openedAt), Reason: reason})
+	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: s.now.Sub(p.openedAt), Reason: reason, Class: s.claim(p).Class().String()})
 }
 
 // placeTasks starts as many waiting tasks as fit on some workers. It returns why others still
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -58,6 +58,7 @@
 	startedAt time.Time
 	// exhaustive makes each pass examine all open phases and workers.
 	exhaustive bool
+	waiting    waiting
 	limits     Limits
 	policy     *policy.Policy
 	estimator  *cell.Estimator
--- a/io/node/handles.go
+++ b/io/node/handles.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"chicoryturn/core/rank"
 )
 
 // Looking a metric up takes its name to be formatted, or a lock, which costs more than to record
@@ -89,6 +91,12 @@
 	jobsParked    = gauge("chicoryturn_jobs_parked")
 	teamsWaiting  = gauge("chicoryturn_teams_waiting_for_memory")
 
+	phasesWaiting = [rank.Classes]func() *metrics.Gauge{
+		rank.OnTime:  gauge(`chicoryturn_phases_waiting{class="on-time"}`),
+		rank.Late:    gauge(`chicoryturn_phases_waiting{class="late"}`),
+		rank.Useless: gauge(`chicoryturn_phases_waiting{class="useless"}`),
+	}
+
 	ordersQueued    = gauge("chicoryturn_orders_queued")
 	ordersOneWorker = gauge("chicoryturn_orders_queued_one_worker")
 	recordAgeGauge  = gauge("chicoryturn_record_age_seconds")
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -10,6 +10,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/load"
+	"chicoryturn/core/rank"
 )
 
 // estimateAge is updated for each submission.
@@ -76,6 +77,13 @@
 	teamsWaiting().Set(float64(use.Waiting))
 }
 
+// Waiting sets how many phases wait for room.
+func (Meter) Waiting(counts [rank.Classes]int) {
+	for class, n := range counts {
+		phasesWaiting[class]().Set(float64(n))
+	}
+}
+
 // Claim counts one claim of the ownership record.
 func (Meter) Claim(reason elect.ClaimReason) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_claims_total{because=%q}", reason)).Inc()
--- a/io/owner/decisions.go
+++ b/io/owner/decisions.go
@@ -34,6 +34,9 @@
 	if d.Reason != "" {
 		f = append(f, logbuf.Text("because", d.Reason))
 	}
+	if d.Class != "" {
+		f = append(f, logbuf.Text("class", d.Class))
+	}
 	f = append(f, logbuf.Text("confirmed", ageText(d.Confirmed)))
 	if d.Count > 0 {
 		f = append(f, logbuf.Number("count", d.Count))
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -16,6 +16,7 @@
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/lanes"
 	"chicoryturn/core/policy"
+	"chicoryturn/core/rank"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 	"chicoryturn/io/loop"
@@ -83,6 +84,8 @@
 	Record(rows int, took time.Duration)
 	Placement(took time.Duration)
 	Memory(use fleet.MemoryUse)
+	// Waiting sets how many phases wait for room, by the class of their jobs.
+	Waiting(counts [rank.Classes]int)
 	SetOwning(isOwner bool)
 	// Claim counts a claim of the ownership record by its reason.
 	Claim(reason elect.ClaimReason)
@@ -339,6 +342,7 @@
 	o.meter.Placement(time.Since(began))
 	o.meter.Counts(o.scheduler.Counts())
 	o.meter.Memory(o.scheduler.MemoryUse())
+	o.meter.Waiting(o.scheduler.Waiting())
 	o.meter.Queued(o.lanes.Queued())
 	o.logDecisions()
 	o.nextTick = next
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -16,6 +16,7 @@
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
+	"chicoryturn/core/rank"
 	"chicoryturn/io/loop"
 	"chicoryturn/io/owner"
 	"chicoryturn/io/record"
@@ -85,6 +86,7 @@
 
 func (*fakeDeps) Counts(fleet.Counts)                {}
 func (*fakeDeps) Memory(fleet.MemoryUse)             {}
+func (*fakeDeps) Waiting([rank.Classes]int)          {}
 func (*fakeDeps) Call(string, string, time.Duration) {}
 func (*fakeDeps) Record(int, time.Duration)          {}
 func (*fakeDeps) Placement(time.Duration)            {}
