--- a/core/fleet/place_test.go
+++ b/core/fleet/place_test.go
@@ -282,8 +282,8 @@
 }
 
 // TestStartOrder checks the order in which jobs start on a full fleet: first jobs within
-// their team's share that can end on time, then late jobs, then jobs beyond the share.
-// The late job and the job beyond the share start in the end too.
+// their team's share that can end on time, then those beyond the share, then late jobs, which have lost
+// most of their worth. The late job and the job beyond the share start in the end too.
 func TestStartOrder(t *testing.T) {
 	is := is.New(t)
 	p := policy.New(1,
@@ -313,7 +313,7 @@
 		f.advance(100 * time.Millisecond)
 		f.heartbeat(f.workers[0], nil, doneEnd(uint64(i+1), starts[0]))
 	}
-	is.Equal(fmt.Sprint(order), "[flood0 fresh late flood1]")
+	is.Equal(fmt.Sprint(order), "[flood0 fresh flood1 late]")
 }
 
 // TestForgetExpired checks that an ended job is kept for as long as clients may query it.
