Evacuation of zones: nothing is started on the workers of an evacuated zone

Cause: the rows evacuate/ZONE of table op are not read.

Change: platform.Lister reads the configuration and the evacuated zones in one read and follows both on one feed (policy.Directives); owner.SetDirectives applies both together, so no owner has one without the other. fleet.Scheduler leaves the workers out of placement, advice requests and room hints, and the VMs out of the requests for the jobs that they accept. Starts that are queued or not yet written are withdrawn by their permits; their tasks wait again, a gang as a whole. With Bounds.EvacuateMs in the settings, an owner that renews its record but has not read the zones starts nothing in time for the bound. Cold workers (ColdRemainingMs) are used after warm ones, and their runs are left out of the estimates.

--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -220,7 +220,7 @@
 func (p *phase) mayRequestAdvice() bool {
 	now := p.job.scheduler.now
 	isPending := !p.advice.requestedAt.IsZero() && now.Before(p.advice.lostAt)
-	return !isPending && !now.Before(p.advice.recheckAt) && p.startable() && p.job.isRouted()
+	return !p.job.scheduler.evacuation.stale && !isPending && !now.Before(p.advice.recheckAt) && p.startable() && p.job.isRouted()
 }
 
 func (s *Scheduler) requestAdvice(peers AdvicePeers, p *phase, advisor policy.Advisor, workers []core.WorkerID) {
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -42,6 +42,7 @@
 type adviceCandidate struct {
 	worker core.WorkerID
 	slots  int
+	isCold bool
 	// rank is a hash that spreads the requests for many phases over otherwise
 	// equal workers.
 	rank uint64
@@ -72,7 +73,7 @@
 		if !p.canRunOn(w, queue) {
 			continue
 		}
-		candidate := adviceCandidate{w.id, p.slotsOn(w, need, w.free), (w.nameHash ^ p.job.hash) * hashMultiplier}
+		candidate := adviceCandidate{w.id, p.slotsOn(w, need, w.free), w.isCold(), (w.nameHash ^ p.job.hash) * hashMultiplier}
 		t, allowed := p.advice.allowed[w.id]
 		switch {
 		case !p.advice.named.Has(w.id):
@@ -90,17 +91,20 @@
 	return out
 }
 
-// sortCandidates puts workers with room first; with mostFirst, it sorts them by
-// the number of tasks that they have room for.
+// sortCandidates puts workers with room first, of these warm ones; with mostFirst, it sorts
+// them by the number of tasks that they have room for.
 func sortCandidates(list []adviceCandidate, mostFirst bool) {
 	slices.SortFunc(list, func(x, y adviceCandidate) int {
 		sx, sy := x.slots, y.slots
-		if !mostFirst {
+		if !mostFirst || x.isCold != y.isCold {
 			sx, sy = min(sx, 1), min(sy, 1)
 		}
 		if sx != sy {
 			return cmp.Compare(sy, sx)
 		}
+		if cold := compareCold(x.isCold, y.isCold); cold != 0 {
+			return cold
+		}
 		return cmp.Compare(x.rank, y.rank)
 	})
 }
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -312,7 +312,12 @@
 	if t.phase.spec.Gang {
 		timeout += s.limits.GangWait
 	}
-	return s.now.Sub(t.progressChangedAt) > timeout
+	// A cold worker makes progress at an unknown rate until it is warm.
+	since := t.progressChangedAt
+	if cold := t.worker.coldUntil; cold.After(since) {
+		since = cold
+	}
+	return s.now.Sub(since) > timeout
 }
 
 // stopStalled stops a stalled run, so that the task starts on another worker.
@@ -329,7 +334,7 @@
 func (t *Task) learnFromProgress() {
 	s := t.phase.job.scheduler
 	worked := s.now.Sub(t.startedAt)
-	if t.percent == 0 || t.checkpoint != "" || worked < minProgressTime || s.now.Sub(t.slownessLearnedAt) < progressInterval {
+	if t.percent == 0 || t.checkpoint != "" || t.ranCold() || worked < minProgressTime || s.now.Sub(t.slownessLearnedAt) < progressInterval {
 		return
 	}
 	t.slownessLearnedAt = s.now
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -147,7 +147,12 @@
 // canRunOn reports whether the phase may run on the worker, whatever room is
 // free there. Its queue is q, nil if the policy has none.
 func (p *phase) canRunOn(w *Worker, q *policy.Queue) bool {
-	return q != nil && w.usable() && p.need().FitsIn(w.info.Capacity) && q.Service == w.info.Service &&
+	return q != nil && w.usable() && p.suits(w, q)
+}
+
+// suits reports whether the worker is one for tasks of the phase, whose queue is q.
+func (p *phase) suits(w *Worker, q *policy.Queue) bool {
+	return p.need().FitsIn(w.info.Capacity) && q.Service == w.info.Service &&
 		(p.spec.Label == "" || slices.Contains(w.info.Labels, p.spec.Label))
 }
 
@@ -210,6 +215,8 @@
 	ticket string
 	// slots is how many more tasks fit.
 	slots int
+	// isCold is set for a worker that is used after all that are not.
+	isCold bool
 	// score is lowest for the best worker.
 	score float64
 }
@@ -231,7 +238,7 @@
 			return
 		}
 		if n := p.slotsOn(w, need, w.free); n > 0 {
-			out = append(out, freeWorker{w, ticket, n, p.score(w, need)})
+			out = append(out, freeWorker{w, ticket, n, w.isCold(), p.score(w, need)})
 		}
 	}
 	if _, needsAdvice := p.advisor().Get(); !needsAdvice {
@@ -246,6 +253,9 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y freeWorker) int {
+		if cold := compareCold(x.isCold, y.isCold); cold != 0 {
+			return cold
+		}
 		if x.score != y.score {
 			return cmp.Compare(x.score, y.score)
 		}
@@ -287,6 +297,8 @@
 // or "".
 func (p *phase) blockReason() string {
 	switch s := p.job.scheduler; {
+	case s.evacuation.stale:
+		return staleReason
 	case !p.startable():
 		return "previous run of the gang has not ended"
 	case p.spec.Gang && !p.verified():
@@ -308,7 +320,7 @@
 		return
 	}
 	p.waitLoggedAt = s.now
-	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: waited, Reason: reason})
+	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: waited, Reason: p.withEvacuation(reason)})
 }
 
 // placeTasks starts as many waiting tasks as fit. It returns why others still
@@ -393,14 +405,13 @@
 // placeGang starts all tasks of a gang together, or none and returns why.
 func (s *Scheduler) placeGang(p *phase) string {
 	free := p.freeWorkers()
+	if warm := warmOf(free); len(warm) < len(free) && slotsOf(warm, p.spec.Count) == p.spec.Count {
+		free = warm
+	}
 	if p.spec.SameRack {
 		free = oneRack(free, p.spec.Count)
 	}
-	slots := 0
-	for _, f := range free {
-		slots = min(slots+f.slots, p.spec.Count)
-	}
-	if slots < p.spec.Count {
+	if slotsOf(free, p.spec.Count) < p.spec.Count {
 		return fmt.Sprintf("%s (gang of %d tasks)", p.noFreeWorkerReason(), p.spec.Count)
 	}
 	switch {
@@ -440,13 +451,18 @@
 		racks[rack] = append(racks[rack], f)
 	}
 	for _, name := range names {
-		slots := 0
-		for _, f := range racks[name] {
-			slots = min(slots+f.slots, count)
-		}
-		if slots == count {
+		if slotsOf(racks[name], count) == count {
 			return racks[name]
 		}
 	}
 	return workers
 }
+
+// slotsOf returns how many tasks fit on the workers, at most count.
+func slotsOf(workers []freeWorker, count int) int {
+	slots := 0
+	for _, f := range workers {
+		slots = min(slots+f.slots, count)
+	}
+	return slots
+}
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -48,6 +48,11 @@
 	// RemoteFactor multiplies the run times of tasks outside their phase's
 	// rack.
 	RemoteFactor float64
+	// Evacuate is the time after which nothing more is started in a zone that the operator
+	// has evacuated; 0 if the settings name none.
+	Evacuate time.Duration
+	// EvacuateSkew is by how much disturbances of the store may extend that.
+	EvacuateSkew time.Duration
 }
 
 // Scheduler holds the state of the fleet under one owner and makes its
@@ -65,6 +70,7 @@
 	// decisions.
 	sortedWorkers []*Worker
 	misdirected   misdirected
+	evacuation    evacuation
 	// openPhases holds the phases whose tasks may start.
 	openPhases map[*phase]struct{}
 	// due holds the jobs with occurrences that have not been built in their turn.
--- a/core/fleet/task.go
+++ b/core/fleet/task.go
@@ -269,7 +269,7 @@
 // learnRunTime updates the queue's estimates and the worker's slowness with the
 // run time.
 func (t *Task) learnRunTime() {
-	if t.startedAt.IsZero() || t.checkpoint != "" {
+	if t.startedAt.IsZero() || t.checkpoint != "" || t.ranCold() {
 		return
 	}
 	s := t.phase.job.scheduler
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -50,6 +50,9 @@
 	Incarnation time.Time `json:"Born"`
 	// Renewals changes whenever the worker renews its entry.
 	Renewals uint64 `json:"Beat"`
+	// ColdFor is how much longer the worker is slow after its start, as of its entry. It is
+	// not stored: a later owner takes it from the list.
+	ColdFor time.Duration `json:"-"`
 }
 
 // WorkerList is one reading of the platform's list of workers.
@@ -165,6 +168,9 @@
 	ackableSeq           uint64
 	ack                  ack
 
+	// coldUntil is the time by which the worker has warmed up after its start; zero if its
+	// entries have never shown it cold.
+	coldUntil time.Time
 	// slowness is the mean logarithm of actual over predicted run time.
 	slowness float64
 	// failedInRow counts the failed runs since the last successful one.
@@ -227,6 +233,7 @@
 	if s.authority.settledAt.IsZero() {
 		w.since = s.epoch
 	}
+	w.noteCold(info)
 	s.workers[id] = w
 	w.changeRoster()
 	i, _ := slices.BinarySearchFunc(s.sortedWorkers, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
@@ -248,6 +255,9 @@
 	if info.Renewals != w.info.Renewals {
 		w.renewedAfter = w.scheduler.lists.requestedAt
 	}
+	if info.Renewals != w.info.Renewals || info.ColdFor != w.info.ColdFor {
+		w.noteCold(info)
+	}
 	w.listed, w.entryUnusable, w.missingSince = true, false, time.Time{}
 	if info.Capacity != w.info.Capacity {
 		w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
@@ -369,5 +379,5 @@
 
 // usable reports whether tasks may be placed on the worker.
 func (w *Worker) usable() bool {
-	return w.state == workerLive && w.listed && !w.entryUnusable && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
+	return w.state == workerLive && w.listed && !w.entryUnusable && !w.isEvacuated() && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
 }
--- a/core/lanes/lanes.go
+++ b/core/lanes/lanes.go
@@ -97,6 +97,27 @@
 	s.waiting[e.Worker] = l
 }
 
+// Withdraw removes and returns the queued starts to the workers that match. Orders in flight stay.
+func (s *Lanes) Withdraw(match func(core.WorkerID) bool) []Entry {
+	var out []Entry
+	for _, worker := range slices.SortedFunc(maps.Keys(s.waiting), cmp.Compare) {
+		if !match(worker) {
+			continue
+		}
+		l := s.waiting[worker]
+		for _, e := range l.starts {
+			delete(l.known, idOf(e.Order))
+		}
+		out = append(out, l.starts...)
+		l.starts = nil
+		if l.queued() == 0 {
+			l.width = 0
+			delete(s.waiting, worker)
+		}
+	}
+	return out
+}
+
 // Next removes and returns the orders that must be sent now. Each ends with a call of Done.
 func (s *Lanes) Next(now time.Time) []Entry {
 	var out []Entry
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -93,6 +93,8 @@
 	policy       atomic.Pointer[policy.Policy]
 	confirmation *confirmation
 	workers      atomic.Pointer[[]fleet.WorkerInfo]
+	// evacuated holds the zones whose workers no advice request names.
+	evacuated atomic.Pointer[policy.Zones]
 	// maxCapacity holds, for each service, the largest capacity of any of its workers
 	// since the process started, separately for each resource. It includes workers
 	// that are no longer listed, since they may return.
@@ -150,6 +152,9 @@
 	}
 }
 
+// SetEvacuated replaces the zones that the operator has evacuated.
+func (e *Entry) SetEvacuated(zones policy.Zones) { e.evacuated.Store(&zones) }
+
 // Version returns the version of the current configuration, or 0 if there is none.
 func (e *Entry) Version() core.Version {
 	if p := e.policy.Load(); p != nil {
@@ -316,9 +321,13 @@
 	}
 	hint := e.roomHint.Load()
 	hintValid := hint != nil && time.Since(hint.receivedAt) < fleet.RoomHintTTL
+	var evacuated policy.Zones
+	if z := e.evacuated.Load(); z != nil {
+		evacuated = *z
+	}
 	var candidates []core.WorkerID
 	for _, w := range *workers {
-		if w.Service == q.Service && !w.Leaving && (!hintValid || hint.workers.Has(w.ID())) {
+		if w.Service == q.Service && !w.Leaving && !evacuated.Has(w.Zone) && (!hintValid || hint.workers.Has(w.ID())) {
 			candidates = append(candidates, w.ID())
 		}
 	}
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -74,6 +74,16 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_yields_total{because=%q}", reason)).Inc()
 }
 
+// Evacuated sets how many zones are evacuated.
+func (meter) Evacuated(zones int) {
+	metrics.GetOrCreateGauge("chicoryturn_zones_evacuated", nil).Set(float64(zones))
+}
+
+// Withdrawn counts starts that were withdrawn as their workers' zone was evacuated.
+func (meter) Withdrawn(starts int) {
+	metrics.GetOrCreateCounter("chicoryturn_starts_withdrawn_total").Add(starts)
+}
+
 // Authority sets on what the owner's orders rest.
 func (meter) Authority(recordAge time.Duration, unreached int) {
 	metrics.GetOrCreateGauge("chicoryturn_record_age_seconds", nil).Set(recordAge.Seconds())
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -39,11 +39,6 @@
 const (
 	// sessionIDBytes is the length of the random part of a session ID.
 	sessionIDBytes = 6
-	// policyWait bounds one call that waits for a new configuration, and so the
-	// time until a VM notices that its connection is dead.
-	policyWait = 800 * time.Millisecond
-	// policyRetryDelay is the time before a failed read is retried.
-	policyRetryDelay = 200 * time.Millisecond
 	// gcPercent is the growth of the heap, in percent, that starts a garbage
 	// collection. It is low since peak memory costs more than processor time.
 	gcPercent = 50
@@ -73,16 +68,14 @@
 	idleTimeout = time.Minute
 )
 
-// Lister reads the configuration and the list of workers.
+// Lister reads what operators have set and the list of workers.
 type Lister interface {
 	owner.WorkerLister
-	// Policy reads the configuration, nil if there is none, and the version of
-	// the store to pass to AwaitPolicy.
-	Policy(ctx context.Context) (*policy.Policy, uint64, error)
-	// AwaitPolicy waits for a change of the configuration after a version of the
-	// store, for at most the duration wait. It returns nil if there was none,
-	// and the version to pass to the next call.
-	AwaitPolicy(ctx context.Context, after uint64, wait time.Duration) (*policy.Policy, uint64, error)
+	// Directives reads the configuration and the evacuated zones.
+	Directives(ctx context.Context) (policy.Directives, error)
+	// AwaitDirectives waits for a change of either after last, for at most the
+	// duration wait, and returns last with the changes.
+	AwaitDirectives(ctx context.Context, last policy.Directives, wait time.Duration) (policy.Directives, error)
 }
 
 // Platform is the process's access to the platform.
@@ -119,6 +112,9 @@
 	lister     Lister
 	advice     *advice.Client
 	records    *record.Store
+	// directivesAt is the boot time in nanoseconds at which the last successful read
+	// of what operators have set was sent; 0 before the first one.
+	directivesAt atomic.Int64
 }
 
 // Run runs a process until stop is closed and all calls have been answered, or
@@ -213,7 +209,7 @@
 	g.Go(func() error { return n.records.Run(ctx) })
 	g.Go(func() error { return n.advice.Run(ctx) })
 	g.Go(func() error { return n.linkClient.Run(ctx) })
-	g.Go(func() error { return n.watchPolicy(ctx) })
+	g.Go(func() error { return n.watchDirectives(ctx) })
 	g.Go(func() error { return n.watchSettings(ctx) })
 	n.owner.AddPeer(&localPeer{vm: n.settings.VM, advice: n.advice, owner: n.owner, entry: n.entry})
 	n.logger("node").WithFields(logrus.Fields{
@@ -308,84 +304,6 @@
 	return nil
 }
 
-// watchPolicy reads the configuration and applies its changes.
-func (n *Node) watchPolicy(ctx context.Context) error {
-	log := n.logger("config")
-	for ctx.Err() == nil {
-		began := n.entry.Clock()
-		p, version, err := readPolicy(func() (*policy.Policy, uint64, error) { return n.lister.Policy(ctx) })
-		if err != nil {
-			log.WithError(err).Warn("cannot read the configuration")
-			clock.Sleep(ctx, policyRetryDelay)
-			continue
-		}
-		n.setPolicy(p)
-		n.entry.ConfirmPolicy(began)
-		for ctx.Err() == nil {
-			began = n.entry.Clock()
-			var resumed bool
-			p, version, resumed, err = n.awaitPolicy(ctx, version)
-			if resumed {
-				log.Info("resumed after a pause; reading the configuration")
-				break
-			}
-			if err != nil {
-				var compacted *table.CompactedError
-				if !errors.As(err, &compacted) {
-					log.WithError(err).Warn("cannot read changes of the configuration")
-					clock.Sleep(ctx, policyRetryDelay)
-				}
-				break
-			}
-			n.setPolicy(p)
-			n.entry.ConfirmPolicy(began)
-		}
-	}
-	return nil
-}
-
-// awaitPolicy waits for a change of the configuration after a version. It stops waiting
-// if the process resumes after a pause.
-func (n *Node) awaitPolicy(ctx context.Context, after uint64) (p *policy.Policy, version uint64, resumed bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	watched := make(chan bool, 1)
-	go func() {
-		select {
-		case <-n.entry.Resumed():
-			cancel()
-			watched <- true
-		case <-ctx.Done():
-			watched <- false
-		}
-	}()
-	p, version, err = readPolicy(func() (*policy.Policy, uint64, error) { return n.lister.AwaitPolicy(ctx, after, policyWait) })
-	cancel()
-	return p, version, <-watched, err
-}
-
-// readPolicy reads the configuration. A panic counts as a failed read.
-func readPolicy(read func() (*policy.Policy, uint64, error)) (p *policy.Policy, version uint64, err error) {
-	err = guard.Do(func() (err error) {
-		p, version, err = read()
-		return err
-	})
-	return p, version, err
-}
-
-// setPolicy applies a configuration unless it is nil or not newer than the
-// current one.
-func (n *Node) setPolicy(p *policy.Policy) {
-	if p == nil {
-		return
-	}
-	last := n.entry.Version()
-	n.entry.SetPolicy(p)
-	if p.Version > last {
-		n.owner.SetPolicy(p)
-		n.logger("config").WithFields(logrus.Fields{"version": p.Version, "last": last}).Info("configuration in force")
-	}
-}
-
 // opsHandler returns the HTTP handler for operators.
 func (n *Node) opsHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -393,6 +311,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.GetOrCreateCounter("chicoryturn_log_lines_dropped_total").Set(n.logBuf.Dropped())
 		metrics.GetOrCreateCounter("chicoryturn_panics_total").Set(guard.Caught())
+		metrics.GetOrCreateGauge("chicoryturn_evacuations_age_seconds", nil).Set(n.directivesAge().Seconds())
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) {
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -119,6 +119,7 @@
 func (o *Owner) handleSuspension(now time.Time, d time.Duration) {
 	o.log.WithFields(logrus.Fields{"after": ageText(d), "owning": o.scheduler != nil}).Warn("resumed after a suspension")
 	o.lastWrite = o.election.RenewedAt()
+	o.directives.resumedAt = clock.BootTime()
 	if o.scheduler != nil {
 		o.scheduler.Suspended(now, d)
 	}
@@ -331,7 +332,7 @@
 		// The jobs that the scheduler has are read again, and dropped.
 		memory /= reloadDivisor
 	}
-	accepted := fleet.NewAcceptedBudget(memory, o.policy)
+	accepted := fleet.NewAcceptedBudget(memory, o.directives.policy)
 	abandoned, abandon := context.WithCancel(context.Background())
 	o.abandonLoad = abandon
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
@@ -395,8 +396,8 @@
 	for _, e := range slices.Concat(snapshot.RowErrors, snapshot.RosterErrors) {
 		o.log.WithError(e).Error("skipping a row that cannot be decoded")
 	}
-	if o.policy == nil {
-		// Nothing can be scheduled without a configuration. SetPolicy applies the
+	if o.directives.policy == nil {
+		// Nothing can be scheduled without a configuration. SetDirectives applies the
 		// snapshot; rows that are stored in between are in the feed of changes.
 		o.unappliedSnapshot = &loaded
 		return
@@ -408,7 +409,8 @@
 		if len(snapshot.RosterErrors) > 0 {
 			opts = append(opts, fleet.WithUnknownRoster())
 		}
-		o.scheduler = fleet.New(now, epoch, o.limits, o.policy, opts...)
+		o.scheduler = fleet.New(now, epoch, o.limits, o.directives.policy, opts...)
+		o.scheduler.SetEvacuated(now, o.directives.evacuated)
 		o.scheduler.RestoreRoster(snapshot.Roster)
 		o.scheduler.Renewed(o.election.RenewedAt())
 		o.scheduler.Confirmed(o.election.ConfirmedAt())
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -6,24 +6,17 @@
 
 	"github.com/sirupsen/logrus"
 
-	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/lanes"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 )
 
-const (
-	// maxOrderAge is the longest time between an order's turn and the beginning of its
-	// sending, including time during which the machine was suspended or the process
-	// was stopped. Goroutines start within a few ms, so an older order means that the
-	// process did not run and may have been replaced as the owner.
-	maxOrderAge = 300 * time.Millisecond
-	// maxStartAge is the longest time between the decision on a start and the moment at
-	// which it is written to a connection. After as long a stall of its control goroutine an
-	// owner must confirm its record.
-	maxStartAge = elect.SuspectTTL
-)
+// maxOrderAge is the longest time between an order's turn and the beginning of its
+// sending, including time during which the machine was suspended or the process
+// was stopped. Goroutines start within a few ms, so an older order means that the
+// process did not run and may have been replaced as the owner.
+const maxOrderAge = 300 * time.Millisecond
 
 // lateStart is the time from the decision on a start to its sending, and from there to the
 // answer, from which on its answer is logged.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -15,7 +15,6 @@
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/lanes"
-	"chicoryturn/core/policy"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 	"chicoryturn/io/loop"
@@ -88,6 +87,10 @@
 	Claim(reason elect.ClaimReason)
 	// Yield counts the times that this owner has given up the ownership record by reason.
 	Yield(reason elect.YieldReason)
+	// Evacuated sets how many zones are evacuated, Withdrawn counts starts that were withdrawn
+	// for that.
+	Evacuated(zones int)
+	Withdrawn(starts int)
 	// Authority sets the age of the last confirmation of the ownership record and how
 	// many workers of earlier owners this owner still waits for; 0 on other processes.
 	Authority(recordAge time.Duration, unreached int)
@@ -113,7 +116,7 @@
 	// the latency of the store is added to it.
 	claimDelay time.Duration
 	limits     fleet.Limits
-	policy     *policy.Policy
+	directives directives
 	// scheduler is nil unless the process owns the fleet.
 	scheduler *fleet.Scheduler
 	// yieldedToEpoch is the latest epoch, named by a job, for which the process has
@@ -331,6 +334,7 @@
 // now as boot time.
 func (o *Owner) tick(now time.Time, decided time.Duration) {
 	began := time.Now()
+	o.checkEvacuatedAge()
 	next := o.scheduler.Tick(now)
 	o.stageRoster()
 	o.dispatch(o.scheduler.Orders(), decided)
@@ -387,21 +391,6 @@
 	})
 }
 
-// SetPolicy replaces the configuration.
-func (o *Owner) SetPolicy(p *policy.Policy) {
-	o.post(func(o *Owner, now time.Time) {
-		o.policy = p
-		o.election.Configured()
-		if loaded := o.unappliedSnapshot; loaded != nil {
-			o.handleSnapshot(now, *loaded)
-		}
-		if o.scheduler != nil {
-			o.scheduler.SetPolicy(p)
-			o.tickSoon(now)
-		}
-	})
-}
-
 // SetLimits replaces the limits from the settings.
 func (o *Owner) SetLimits(l fleet.Limits) {
 	o.post(func(o *Owner, _ time.Time) {
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -16,6 +16,7 @@
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/jobs"
 	"chicoryturn/core/policy"
+	"chicoryturn/io/clock"
 	"chicoryturn/io/loop"
 	"chicoryturn/io/owner"
 	"chicoryturn/io/record"
@@ -94,6 +95,8 @@
 func (*fakeDeps) Authority(time.Duration, int)       {}
 func (*fakeDeps) Mailbox(time.Duration, int)         {}
 func (*fakeDeps) Queued(int, int)                    {}
+func (*fakeDeps) Evacuated(int)                      {}
+func (*fakeDeps) Withdrawn(int)                      {}
 
 // allDeps combines the dependencies of an owner.
 type allDeps interface {
@@ -106,6 +109,11 @@
 // withHook adds a hook to the log of an owner.
 func withHook(h logrus.Hook) func(*logrus.Logger) { return func(l *logrus.Logger) { l.AddHook(h) } }
 
+// setPolicy gives an owner a configuration, and no evacuated zones.
+func setPolicy(o *owner.Owner, p *policy.Policy) {
+	o.SetDirectives(policy.Directives{Policy: p}, clock.BootTime())
+}
+
 // startOwner starts an owner that runs until the test ends.
 func startOwner(t *testing.T, deps allDeps, holder core.SessionID, p *policy.Policy, opts ...func(*logrus.Logger)) *owner.Owner {
 	t.Helper()
@@ -120,7 +128,7 @@
 		fleet.Limits{Lease: 6 * time.Second, RemoteFactor: 1}, log.WithField("part", "owner"))
 	go func() { _ = o.Run() }()
 	if p != nil {
-		o.SetPolicy(p)
+		setPolicy(o, p)
 	}
 	return o
 }
@@ -205,7 +213,7 @@
 	deps := &fakeDeps{}
 	o := startOwner(t, emptyFeedStore{deps}, "a", nil)
 	time.Sleep(2500 * time.Millisecond) // time for a claim and one load
-	o.SetPolicy(policy.New(1, nil, nil, nil, 0))
+	setPolicy(o, policy.New(1, nil, nil, nil, 0))
 	time.Sleep(100 * time.Millisecond)
 	_, _, isOwner, err := o.State(t.Context(), "j")
 	is.NoErr(err)
--- a/io/owner/permit.go
+++ b/io/owner/permit.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"chicoryturn/core"
 	"chicoryturn/core/fleet"
 	"chicoryturn/io/clock"
 )
@@ -12,7 +13,8 @@
 // right before the order leaves; the control goroutine withdraws it when the decision no
 // longer holds. Only one of them succeeds.
 type permit struct {
-	run uint64
+	worker core.WorkerID
+	run    uint64
 	// decided is the boot time of the decision.
 	decided time.Duration
 	// used is set once the permit is taken or withdrawn, delay then holds how long after
@@ -24,7 +26,7 @@
 // take reports whether the start may be sent now.
 func (p *permit) take() bool {
 	delay := clock.BootTime() - p.decided
-	if delay > maxStartAge || !p.used.CompareAndSwap(false, true) {
+	if delay > fleet.MaxStartAge || !p.used.CompareAndSwap(false, true) {
 		return false
 	}
 	p.delay.Store(int64(delay))
@@ -42,7 +44,7 @@
 		last.withdraw()
 	}
 	if ord.Kind == fleet.OrderStart {
-		o.permits[ord.Task] = &permit{run: ord.Run, decided: decided}
+		o.permits[ord.Task] = &permit{worker: ord.Worker, run: ord.Run, decided: decided}
 	}
 }
 
--- a/io/owner/workers.go
+++ b/io/owner/workers.go
@@ -51,6 +51,10 @@
 			o.onWorkers(list.Workers)
 			if o.scheduler != nil {
 				o.scheduler.SetWorkers(now, list)
+				if len(o.directives.evacuated) > 0 {
+					// A worker may be listed in another zone than before.
+					o.withdrawEvacuated(now)
+				}
 				o.stageRoster()
 				o.tickSoon(now)
 			}
