--- a/core/lanes/lanes_test.go
+++ b/core/lanes/lanes_test.go
@@ -20,6 +20,32 @@
 	return lanes.Entry{Order: fleet.Order{Kind: kind, Worker: core.WorkerID(worker), Task: task, Run: 1}}
 }
 
+// TestWithdraw guards against withdrawn starts that are sent, or can't be queued again, and against
+// stops and other workers' starts that are withdrawn with them.
+func TestWithdraw(t *testing.T) {
+	is := is.New(t)
+	s := lanes.New()
+	for i := range 5 {
+		s.Add(order(fleet.OrderStart, "a", i))
+		s.Add(order(fleet.OrderStart, "b", i))
+	}
+	inFlight := s.Next(startTime)
+	is.Equal(len(inFlight), 4) // two for each worker
+	s.Add(order(fleet.OrderStop, "a", 9))
+	withdrawn := s.Withdraw(func(w core.WorkerID) bool { return w == "a" })
+	is.Equal(len(withdrawn), 3)
+	total, longest := s.Queued()
+	is.Equal(total, 4) // the stop, and three starts for b
+	is.Equal(longest, 3)
+	s.Add(withdrawn[0])
+	total, _ = s.Queued()
+	is.Equal(total, 5)
+	for _, e := range inFlight {
+		s.Done(e.Order, fleet.ReplyOK, time.Millisecond)
+	}
+	is.Equal(len(s.Next(startTime)), 4)
+}
+
 // peer is a worker that answers after a round trip. It leaves orders without an answer that are
 // sent before silentFor has passed, and later ones of which the number is a multiple of lost.
 type peer struct {
--- a/io/entry/advice_test.go
+++ b/io/entry/advice_test.go
@@ -16,7 +16,8 @@
 
 // TestEarlyAdvice submits jobs on a VM of a large fleet. Its early advice request must
 // name a few workers: only workers of the room hint if there is one, and any workers
-// otherwise. It must send no request if the hint is empty.
+// otherwise. It must send no request if the hint is empty, and name no worker of an evacuated
+// zone.
 func TestEarlyAdvice(t *testing.T) {
 	is := is.New(t)
 	deps := &fakeDeps{}
@@ -27,7 +28,7 @@
 	}}, nil, []policy.Service{{Name: "s"}}, 0))
 	var workers []fleet.WorkerInfo
 	for i := range 350 {
-		workers = append(workers, fleet.WorkerInfo{VM: core.VM{Name: fmt.Sprintf("w%03d", i), Service: "s", Capacity: core.Resources{Cores: 64000}}})
+		workers = append(workers, fleet.WorkerInfo{VM: core.VM{Name: fmt.Sprintf("w%03d", i), Service: "s", Zone: core.Zone(fmt.Sprint("z", i%2)), Capacity: core.Resources{Cores: 64000}}})
 	}
 	e.SetWorkers(workers)
 	submit := func(id string) []core.WorkerID {
@@ -46,6 +47,13 @@
 	deps.delay = 0
 	e.SetRoomHint([]core.WorkerID{"w300", "w200"})
 	is.Equal(len(submit("c")), 2)
+	e.SetRoomHint([]core.WorkerID{"w300", "w201"})
+	e.SetEvacuated(policy.Zones{"z0": 1})
+	is.Equal(submit("e"), []core.WorkerID{"w201"})
+	e.SetEvacuated(policy.Zones{"z0": 1, "z1": 2})
+	is.Equal(len(submit("f")), 0)
+	e.SetEvacuated(nil)
+	is.Equal(len(submit("g")), 2)
 	e.SetRoomHint(nil)
 	is.Equal(len(submit("d")), 0)
 }
