--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -7,6 +7,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/policy"
 )
 
 // Dump is the scheduler's state for operators.
@@ -19,10 +20,12 @@
 	// Settled is set once every worker that an earlier owner may have used has
 	// reported.
 	Settled bool
-	Counts  Counts
-	Used    map[core.Team]core.Resources
-	Memory  MemoryUse
-	Workers []WorkerDump
+	// Evacuated holds the evacuated zones, each with the version of its row.
+	Evacuated policy.Zones `json:",omitempty"`
+	Counts    Counts
+	Used      map[core.Team]core.Resources
+	Memory    MemoryUse
+	Workers   []WorkerDump
 	// Jobs holds the jobs that have not ended, the oldest first.
 	Jobs []JobDump
 }
@@ -87,7 +90,7 @@
 
 // Dump returns the scheduler's state.
 func (s *Scheduler) Dump() *Dump {
-	d := &Dump{Epoch: s.epoch, Confirmed: s.recordAge().Round(time.Millisecond).String(), Unreached: s.Unreached(), Settled: s.allReported, Counts: s.counts, Used: map[core.Team]core.Resources{}, Memory: s.MemoryUse()}
+	d := &Dump{Epoch: s.epoch, Confirmed: s.recordAge().Round(time.Millisecond).String(), Unreached: s.Unreached(), Settled: s.allReported, Evacuated: s.evacuation.zones, Counts: s.counts, Used: map[core.Team]core.Resources{}, Memory: s.MemoryUse()}
 	for t, r := range s.used {
 		d.Used[t] = r
 	}
--- a/core/fleet/evacuation.go
+++ b/core/fleet/evacuation.go
@@ -128,7 +128,7 @@
 	if others == 0 {
 		return "all workers that may run it are in evacuated zones: " + text
 	}
-	return fmt.Sprintf("%s; %d workers are in evacuated zones: %s", reason, inZones, text)
+	return fmt.Sprintf("%s; workers in evacuated zones (%s): %d", reason, text, inZones)
 }
 
 // noteCold takes over from the worker's entry how long it is slow. An entry that no longer says so
