Placement: evacuated and cold workers cost no time of the sorts

Change: each worker keeps whether its zone is evacuated; coldness is a bit of the rank and a part of the score.

--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -42,12 +42,24 @@
 type adviceCandidate struct {
 	worker core.WorkerID
 	slots  int
-	isCold bool
 	// rank is a hash that spreads the requests for many phases over otherwise
-	// equal workers.
+	// equal workers. Its highest bit is set for cold ones, which come last: sorting
+	// took a third longer with a field more.
 	rank uint64
 }
 
+// coldBit is the bit of a rank that marks a cold worker.
+const coldBit = 1 << 63
+
+// rankOf returns the rank of a worker for the phase.
+func (p *phase) rankOf(w *Worker) uint64 {
+	rank := (w.nameHash ^ p.job.hash) * hashMultiplier >> 1
+	if w.isCold() {
+		rank |= coldBit
+	}
+	return rank
+}
+
 // adviceCandidates are the workers that a request for a phase may name.
 type adviceCandidates struct {
 	// readySlots counts the tasks that fit on workers whose tickets outlast a
@@ -73,7 +85,7 @@
 		if !p.canRunOn(w, queue) {
 			continue
 		}
-		candidate := adviceCandidate{w.id, p.slotsOn(w, need, w.free), w.isCold(), (w.nameHash ^ p.job.hash) * hashMultiplier}
+		candidate := adviceCandidate{w.id, p.slotsOn(w, need, w.free), p.rankOf(w)}
 		t, allowed := p.advice.allowed[w.id]
 		switch {
 		case !p.advice.named.Has(w.id):
@@ -96,15 +108,12 @@
 func sortCandidates(list []adviceCandidate, mostFirst bool) {
 	slices.SortFunc(list, func(x, y adviceCandidate) int {
 		sx, sy := x.slots, y.slots
-		if !mostFirst || x.isCold != y.isCold {
+		if !mostFirst || x.rank&coldBit != y.rank&coldBit {
 			sx, sy = min(sx, 1), min(sy, 1)
 		}
 		if sx != sy {
 			return cmp.Compare(sy, sx)
 		}
-		if cold := compareCold(x.isCold, y.isCold); cold != 0 {
-			return cold
-		}
 		return cmp.Compare(x.rank, y.rank)
 	})
 }
--- a/core/fleet/evacuation.go
+++ b/core/fleet/evacuation.go
@@ -19,6 +19,9 @@
 	MaxStartAge = elect.SuspectTTL
 	// staleDivisor divides a bound that is not much longer than MaxStartAge.
 	staleDivisor = 2
+	// coldScore is what a cold worker's score is higher by. All else adds up to less: the
+	// settings bound RemoteFactor by 1e9.
+	coldScore = 1e12
 	// maxNamedZones bounds the zones that a reason names.
 	maxNamedZones = 5
 	// staleReason says why nothing starts.
@@ -42,6 +45,9 @@
 func (s *Scheduler) SetEvacuated(now time.Time, zones policy.Zones) {
 	s.now = now
 	s.evacuation.zones = zones
+	for _, w := range s.sortedWorkers {
+		w.noteZone()
+	}
 	s.needsPlacement = true
 }
 
@@ -70,7 +76,7 @@
 // InEvacuatedZone reports whether a worker is in a zone that is evacuated.
 func (s *Scheduler) InEvacuatedZone(worker core.WorkerID) (core.Zone, bool) {
 	w := s.workers[worker]
-	if w == nil || !w.isEvacuated() {
+	if w == nil || !w.evacuated {
 		return "", false
 	}
 	return w.info.Zone, true
@@ -89,8 +95,8 @@
 	t.fire(taskRefused)
 }
 
-// isEvacuated reports whether the worker's zone is evacuated.
-func (w *Worker) isEvacuated() bool { return w.scheduler.evacuation.zones.Has(w.info.Zone) }
+// noteZone records whether the worker's zone is evacuated.
+func (w *Worker) noteZone() { w.evacuated = w.scheduler.evacuation.zones.Has(w.info.Zone) }
 
 // withEvacuation returns the reason why the phase waits, with the evacuated zones if they have a
 // part in it.
@@ -105,7 +111,7 @@
 	for _, w := range s.sortedWorkers {
 		switch {
 		case !w.listed || !p.suits(w, queue):
-		case w.isEvacuated():
+		case w.evacuated:
 			inZones++
 			zones.Add(w.info.Zone)
 		default:
@@ -144,26 +150,17 @@
 }
 
 // isCold reports whether the worker is slow after its start.
-func (w *Worker) isCold() bool { return w.scheduler.now.Before(w.coldUntil) }
+func (w *Worker) isCold() bool {
+	return !w.coldUntil.IsZero() && w.scheduler.now.Before(w.coldUntil)
+}
 
 // ranCold reports whether the task's run has been slowed down by a cold worker.
 func (t *Task) ranCold() bool { return t.startedAt.Before(t.worker.coldUntil) }
 
 // warmOf returns the workers that are not cold; the cold ones are last.
 func warmOf(workers []freeWorker) []freeWorker {
-	if i := slices.IndexFunc(workers, func(f freeWorker) bool { return f.isCold }); i >= 0 {
+	if i := slices.IndexFunc(workers, func(f freeWorker) bool { return f.worker.isCold() }); i >= 0 {
 		return workers[:i]
 	}
 	return workers
 }
-
-// compareCold orders warm workers before cold ones.
-func compareCold(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case y:
-		return -1
-	}
-	return 1
-}
--- a/core/fleet/evacuation_test.go
+++ b/core/fleet/evacuation_test.go
@@ -275,6 +275,31 @@
 	}
 }
 
+// TestAdviceNamesWarmWorkersFirst guards against requests that name cold workers while they leave out
+// warm ones with room.
+func TestAdviceNamesWarmWorkersFirst(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		is := is.New(t)
+		f := newAdvisedFixture(60, policy.Advisor{Base: 5 * time.Millisecond, PerWorker: time.Millisecond, TicketTTL: time.Second})
+		cold := core.Set[core.WorkerID]{}
+		for i := range f.workers {
+			if i%2 == 0 {
+				f.workers[i].ColdFor = time.Minute
+				cold.Add(f.workers[i].ID())
+			}
+		}
+		f.SetWorkers(f.now, f.list(f.workers))
+		f.Accept(f.now, newJob("j", 4, gang))
+		f.Tick(f.now)
+		peers := &fakePeers{}
+		f.AdviceRequests(f.now, peers)
+		is.True(len(peers.requests[0].Workers) < 30)
+		for _, w := range peers.requests[0].Workers {
+			is.True(!cold.Has(w))
+		}
+	}
+}
+
 // TestColdWorkers guards against work on a cold worker while a warm one has room, and against
 // estimates that take the slowness of a cold start for that of the queue or the worker.
 func TestColdWorkers(t *testing.T) {
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -215,8 +215,6 @@
 	ticket string
 	// slots is how many more tasks fit.
 	slots int
-	// isCold is set for a worker that is used after all that are not.
-	isCold bool
 	// score is lowest for the best worker.
 	score float64
 }
@@ -238,7 +236,7 @@
 			return
 		}
 		if n := p.slotsOn(w, need, w.free); n > 0 {
-			out = append(out, freeWorker{w, ticket, n, w.isCold(), p.score(w, need)})
+			out = append(out, freeWorker{w, ticket, n, p.score(w, need)})
 		}
 	}
 	if _, needsAdvice := p.advisor().Get(); !needsAdvice {
@@ -253,9 +251,6 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y freeWorker) int {
-		if cold := compareCold(x.isCold, y.isCold); cold != 0 {
-			return cold
-		}
 		if x.score != y.score {
 			return cmp.Compare(x.score, y.score)
 		}
@@ -267,13 +262,16 @@
 
 // score rates a worker for the phase. It is lowest for a worker that the task
 // would leave little free room on, that is fast, and that is in the rack of the
-// data.
+// data; a cold worker's is above that of any other.
 func (p *phase) score(w *Worker, need core.Resources) float64 {
 	capacity := max(w.info.Capacity.Cores, 1)
 	score := float64(w.free.Cores-need.Cores)/float64(capacity) + slownessWeight*w.slowness
 	if p.spec.Rack != "" && p.spec.Rack != w.info.Rack {
 		score += p.job.scheduler.limits.RemoteFactor
 	}
+	if w.isCold() {
+		score += coldScore
+	}
 	return score
 }
 
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -168,6 +168,8 @@
 	ackableSeq           uint64
 	ack                  ack
 
+	// evacuated is set while the worker's zone is evacuated.
+	evacuated bool
 	// coldUntil is the time by which the worker has warmed up after its start; zero if its
 	// entries have never shown it cold.
 	coldUntil time.Time
@@ -234,6 +236,7 @@
 		w.since = s.epoch
 	}
 	w.noteCold(info)
+	w.noteZone()
 	s.workers[id] = w
 	w.changeRoster()
 	i, _ := slices.BinarySearchFunc(s.sortedWorkers, id, func(o *Worker, id core.WorkerID) int { return cmp.Compare(o.id, id) })
@@ -271,6 +274,7 @@
 	// The incarnation that the worker itself reports is newer than the list.
 	info.Incarnation = w.info.Incarnation
 	w.info = info
+	w.noteZone()
 }
 
 // handleUnlisted handles a list without the worker, on which nothing is placed any
@@ -379,5 +383,5 @@
 
 // usable reports whether tasks may be placed on the worker.
 func (w *Worker) usable() bool {
-	return w.state == workerLive && w.listed && !w.entryUnusable && !w.isEvacuated() && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
+	return w.state == workerLive && w.listed && !w.entryUnusable && !w.evacuated && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
 }
