--- a/core/fleet/evacuation_test.go
+++ b/core/fleet/evacuation_test.go
@@ -284,7 +284,7 @@
 		cold := core.Set[core.WorkerID]{}
 		for i := range f.workers {
 			if i%2 == 0 {
-				f.workers[i].ColdFor = time.Minute
+				f.workers[i].ColdFor, f.workers[i].Capacity.Cores = time.Minute, 2*f.workers[i].Capacity.Cores
 				cold.Add(f.workers[i].ID())
 			}
 		}
