--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -142,8 +142,12 @@
 // canRunOn reports whether the phase may run on the worker, whatever room is
 // free there. Its queue is q, nil if the policy has none.
 func (p *phase) canRunOn(w *Worker, q *policy.Queue) bool {
-	return q != nil && w.usable() && p.need().FitsIn(w.info.Capacity) && q.Service == w.info.Service &&
-		w.hasLabel(p.spec.Label)
+	return q != nil && w.usable() && p.suits(w, q)
+}
+
+// suits reports whether the worker is one for tasks of the phase, whose queue is q.
+func (p *phase) suits(w *Worker, q *policy.Queue) bool {
+	return p.need().FitsIn(w.info.Capacity) && q.Service == w.info.Service && w.hasLabel(p.spec.Label)
 }
 
 // hasLabel reports whether the worker has a label, which each has if it is empty.
@@ -265,13 +269,16 @@
 
 // score rates a worker for the phase. It is lowest for a worker that the task
 // would leave little free room on, that is fast, and that is in the rack of the
-// data.
+// data; a cold worker's is above that of any other.
 func (p *phase) score(w *Worker, need core.Resources) float64 {
 	capacity := max(w.info.Capacity.Cores, 1)
 	score := float64(w.free.Cores-need.Cores)/float64(capacity) + slownessWeight*w.slowness
 	if p.spec.Rack != "" && p.spec.Rack != w.info.Rack {
 		score += p.job.scheduler.limits.RemoteFactor
 	}
+	if w.isCold() {
+		score += coldScore
+	}
 	return score
 }
 
@@ -343,6 +350,8 @@
 // or "".
 func (p *phase) blockReason() string {
 	switch s := p.job.scheduler; {
+	case s.evacuation.stale:
+		return staleReason
 	case !p.startable():
 		return "previous run of the gang has not ended"
 	case p.spec.Gang && !p.verified():
@@ -369,7 +378,7 @@
 		return
 	}
 	p.waitLoggedAt = s.now
-	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: s.now.Sub(p.openedAt), Reason: reason, Class: s.claim(p).Class().String()})
+	s.logDecision(Decision{Job: p.id.Job, Event: "waits", Task: p.id.String(), Wait: s.now.Sub(p.openedAt), Reason: p.withEvacuation(reason), Class: s.claim(p).Class().String()})
 }
 
 // placeTasks starts as many waiting tasks as fit on some workers. It returns why others still
@@ -454,14 +463,13 @@
 // placeGang starts all tasks of a gang together on some workers, or none and returns why.
 func (s *Scheduler) placeGang(p *phase, among []*Worker) string {
 	free := p.freeWorkers(among)
+	if warm := warmOf(free); len(warm) < len(free) && slotsOf(warm, p.spec.Count) == p.spec.Count {
+		free = warm
+	}
 	if p.spec.SameRack {
 		free = oneRack(free, p.spec.Count)
 	}
-	slots := 0
-	for _, f := range free {
-		slots = min(slots+f.slots, p.spec.Count)
-	}
-	if slots < p.spec.Count {
+	if slotsOf(free, p.spec.Count) < p.spec.Count {
 		return fmt.Sprintf("%s (gang of %d tasks)", p.noFreeWorkerReason(), p.spec.Count)
 	}
 	switch {
--- a/core/fleet/requests.go
+++ b/core/fleet/requests.go
@@ -195,7 +195,7 @@
 func (p *phase) mayRequestAdvice() bool {
 	now := p.job.scheduler.now
 	isPending := !p.advice.requestedAt.IsZero() && now.Before(p.advice.lostAt)
-	return !isPending && !now.Before(p.advice.recheckAt) && p.startable() && p.isRouted()
+	return !p.job.scheduler.evacuation.stale && !isPending && !now.Before(p.advice.recheckAt) && p.startable() && p.isRouted()
 }
 
 // isRouted is Job.isRouted for the phase's job.
--- a/core/fleet/room.go
+++ b/core/fleet/room.go
@@ -273,13 +273,18 @@
 		racks[rack] = append(racks[rack], f)
 	}
 	for _, name := range names {
-		slots := 0
-		for _, f := range racks[name] {
-			slots = min(slots+f.slots, count)
-		}
-		if slots == count {
+		if slotsOf(racks[name], count) == count {
 			return racks[name]
 		}
 	}
 	return workers
 }
+
+// slotsOf returns how many tasks fit on the workers, at most count.
+func slotsOf(workers []freeWorker, count int) int {
+	slots := 0
+	for _, f := range workers {
+		slots = min(slots+f.slots, count)
+	}
+	return slots
+}
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -94,6 +94,16 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("chicoryturn_yields_total{because=%q}", reason)).Inc()
 }
 
+// Evacuated sets how many zones are evacuated.
+func (Meter) Evacuated(zones int) {
+	metrics.GetOrCreateGauge("chicoryturn_zones_evacuated", nil).Set(float64(zones))
+}
+
+// Withdrawn counts starts that were withdrawn as their workers' zone was evacuated.
+func (Meter) Withdrawn(starts int) {
+	metrics.GetOrCreateCounter("chicoryturn_starts_withdrawn_total").Add(starts)
+}
+
 // Authority sets on what the owner's orders rest.
 func (Meter) Authority(recordAge time.Duration, unreached int) {
 	recordAgeGauge().Set(recordAge.Seconds())
