Bound the listeners of node, gate and sched

Cause: TestClientsOutsideLimits fails in 26 of 33 cases.

Gate and sched collect garbage as node does.

--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -71,6 +71,13 @@
 	Health string
 }
 
+// ClientLimits bound the headers of a request in bytes, the time within which they arrive and the
+// time that a connection may be idle; 0 means that the configuration does not say.
+type ClientLimits struct {
+	HeaderBytes                int64
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
 // Policy is one version of the configuration. It is immutable.
 type Policy struct {
 	Version  core.Version
@@ -79,6 +86,8 @@
 	Services map[core.Service]*Service
 	// MaxBody bounds a submission, in bytes.
 	MaxBody int64
+	// Clients are the limits within which every client is served.
+	Clients ClientLimits
 
 	byKey  map[string]*Team
 	byHost map[string][]*Queue
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -18,12 +18,13 @@
 	"chicoryturn/io/wire"
 )
 
+// KeepAliveTimeout is how long a ping of gRPC, and data that was sent, may stay unacknowledged.
+const KeepAliveTimeout = time.Second
+
 const (
-	// keepAliveInterval and keepAliveTimeout detect a dead connection. gRPC
-	// allows a client at most one ping every 10 s, so most dead connections are
-	// detected by the TCP user timeout, which keepAliveTimeout also sets.
+	// keepAliveInterval detects a dead connection. gRPC allows a client at most one ping every
+	// 10 s, so most dead connections are detected by the TCP user timeout of KeepAliveTimeout.
 	keepAliveInterval = 10 * time.Second
-	keepAliveTimeout  = time.Second
 	// sendQueueLen bounds the messages queued for one stream.
 	sendQueueLen = 512
 	// maxAnswers bounds the questions of one VM that the owner answers at a time. A question
@@ -42,6 +43,13 @@
 	ownerSilenceTimeout  = 1200 * time.Millisecond
 	// maxMessageBytes bounds the size of one message.
 	maxMessageBytes = 1 << 20
+	// maxHeaderBytes bounds the headers of a stream, which are some 200 bytes.
+	maxHeaderBytes = 16 << 10
+	// maxStreams bounds the streams of a connection, of which a VM opens one.
+	maxStreams = 4
+	// helloTimeout bounds the time until a connection has been set up, and then until the first
+	// message of a stream. Both follow at once; the time allows for lost packets.
+	helloTimeout = 3 * time.Second
 	// flowControlWindow bounds the bytes in flight on a stream, and so its
 	// memory.
 	flowControlWindow = 64 << 10
@@ -65,13 +73,13 @@
 // Error implements error.
 func (*AdviceError) Error() string { return "the advice request failed" }
 
-var clientKeepAlive = keepalive.ClientParameters{Time: keepAliveInterval, Timeout: keepAliveTimeout, PermitWithoutStream: true}
+var clientKeepAlive = keepalive.ClientParameters{Time: keepAliveInterval, Timeout: KeepAliveTimeout, PermitWithoutStream: true}
 
 // keepAlivePolicy allows twice as many pings as clients send.
 var keepAlivePolicy = keepalive.EnforcementPolicy{MinTime: keepAliveInterval / 2, PermitWithoutStream: true}
 
 // serverKeepAlive sends pings at the shortest interval that gRPC allows a server.
-var serverKeepAlive = keepalive.ServerParameters{Time: time.Second, Timeout: keepAliveTimeout}
+var serverKeepAlive = keepalive.ServerParameters{Time: time.Second, Timeout: KeepAliveTimeout}
 
 // The functions below convert between core types and messages: fromX returns a message
 // and toX the core type.
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -62,10 +62,12 @@
 
 // NewServer returns a gRPC server that accepts the streams of other VMs. session
 // names this incarnation; h makes the table calls that the VMs forward.
-func NewServer(o Owner, session core.SessionID, h CallHandler, log *logrus.Entry) *Server {
-	s := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepAlivePolicy), grpc.KeepaliveParams(serverKeepAlive),
+func NewServer(o Owner, session core.SessionID, h CallHandler, log *logrus.Entry, opts ...grpc.ServerOption) *Server {
+	opts = append(opts, grpc.KeepaliveEnforcementPolicy(keepAlivePolicy), grpc.KeepaliveParams(serverKeepAlive),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.InitialWindowSize(flowControlWindow), grpc.InitialConnWindowSize(flowControlWindow),
-		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))
+		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10),
+		grpc.MaxHeaderListSize(maxHeaderBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.ConnectionTimeout(helloTimeout))
+	s := grpc.NewServer(opts...)
 	impl := &server{owner: o, session: session, handler: h, log: log}
 	wire.RegisterLinkServer(s, impl)
 	return &Server{s, impl}
@@ -193,7 +195,7 @@
 
 // Join implements wire.LinkServer.
 func (s *server) Join(stream grpc.BidiStreamingServer[wire.Up, wire.Down]) error {
-	first, err := stream.Recv()
+	first, err := receiveFirst(stream)
 	if err != nil {
 		return err
 	}
@@ -235,6 +237,28 @@
 	}
 }
 
+// receiveFirst returns the first message of a stream, which must come within helloTimeout.
+func receiveFirst(stream grpc.BidiStreamingServer[wire.Up, wire.Down]) (*wire.Up, error) {
+	type result struct {
+		message *wire.Up
+		err     error
+	}
+	received := make(chan result, 1)
+	// The end of the stream ends a call that is still waiting.
+	go func() {
+		m, err := stream.Recv()
+		received <- result{m, err}
+	}()
+	timer := time.NewTimer(helloTimeout)
+	defer timer.Stop()
+	select {
+	case r := <-received:
+		return r.message, r.err
+	case <-timer.C:
+		return nil, &FormatError{"no hello within " + helloTimeout.String()}
+	}
+}
+
 // receive handles a VM's messages until its stream ends.
 func (s *server) receive(ctx context.Context, stream grpc.BidiStreamingServer[wire.Up, wire.Down], p *peer) error {
 	for {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -24,13 +23,13 @@
 	"chicoryturn/io/adapt"
 	"chicoryturn/io/advice"
 	"chicoryturn/io/clock"
+	"chicoryturn/io/conns"
 	"chicoryturn/io/entry"
 	"chicoryturn/io/guard"
 	"chicoryturn/io/link"
 	"chicoryturn/io/logbuf"
 	"chicoryturn/io/loop"
 	"chicoryturn/io/owner"
-	"chicoryturn/io/proc"
 	"chicoryturn/io/record"
 	"chicoryturn/io/relay"
 	"chicoryturn/io/table"
@@ -67,10 +66,6 @@
 	// 2.5 KB. maxReadDelay bounds the claim delay of a VM with a slow link.
 	snapshotMegabits = 60.0
 	maxReadDelay     = 4 * time.Second
-	// headerTimeout bounds the time that a client takes to send its headers.
-	headerTimeout = 5 * time.Second
-	// idleTimeout bounds how long an idle connection is kept open.
-	idleTimeout = time.Minute
 )
 
 // Lister reads the configuration and the list of workers.
@@ -119,6 +114,8 @@
 	lister     Lister
 	advice     *advice.Client
 	records    *record.Store
+	// listeners are those for HTTP. They are set before the goroutines start.
+	listeners []*conns.Listener
 }
 
 // Run runs a process until stop is closed and all calls have been answered, or
@@ -151,7 +148,7 @@
 		owner.WithWorkersHook(n.entry.SetWorkers), owner.WithTickHook(n.entry.CheckPause), owner.WithRecordHook(n.entry.SetRecord),
 		owner.WithOwnerHook(func(r elect.Record, isOwner bool) { n.ownerChanged(toOwner, r, isOwner) }))
 	n.linkClient = link.NewClient(s.VM, string(s.Zone), n.advice, n.owner, store.ServeDirect, n.logger("link"), link.WithRoomHint(n.entry.SetRoomHint))
-	n.linkServer = link.NewServer(n.owner, n.session, store.Serve, n.logger("link"))
+	n.linkServer = link.NewServer(n.owner, n.session, store.Serve, n.logger("link"), conns.StreamStats())
 	toOwner.owner, toOwner.client, toOwner.server = n.owner, n.linkClient, n.linkServer
 	return n
 }
@@ -229,54 +226,6 @@
 	}
 }
 
-// serve listens on the process's addresses and starts their servers.
-func (n *Node) serve(ctx context.Context, g *errgroup.Group, stop <-chan struct{}, exit context.CancelFunc) error {
-	callers, err := proc.Listen("callers", n.settings.Callers)
-	if err != nil {
-		return err
-	}
-	probes, err := proc.Listen("probes", n.settings.Probes)
-	if err != nil {
-		return errors.Join(err, callers.Close())
-	}
-	peers, err := proc.Listen("peers", n.settings.Peers)
-	if err != nil {
-		return errors.Join(err, callers.Close(), probes.Close())
-	}
-	ops, err := proc.Listen("ops", n.settings.Ops)
-	if err != nil {
-		return errors.Join(err, callers.Close(), probes.Close(), peers.Close())
-	}
-	g.Go(func() error { return n.linkServer.Serve(peers) })
-	g.Go(func() error {
-		<-ctx.Done()
-		n.linkServer.Stop()
-		return nil
-	})
-	callerServer := n.httpServer(ctx, g, callers, n.platform.CallerHandler(n.entry))
-	n.httpServer(ctx, g, probes, n.platform.ProbeHandler(n.entry))
-	n.httpServer(ctx, g, ops, n.opsHandler())
-	g.Go(func() error { return n.shutdown(ctx, stop, callerServer, exit) })
-	return nil
-}
-
-// httpServer starts an HTTP server that is closed when the context ends.
-func (n *Node) httpServer(ctx context.Context, g *errgroup.Group, l net.Listener, h http.Handler) *http.Server {
-	h = guard.Handler(h, func(err error) { n.logger("node").WithError(err).Error("panic in a handler; the request is lost") })
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
-	g.Go(func() error {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		return srv.Close()
-	})
-	return srv
-}
-
 // shutdown handles a planned stop: it fails the readiness probes, resigns
 // ownership and waits for the calls in flight.
 func (n *Node) shutdown(ctx context.Context, stop <-chan struct{}, callerServer *http.Server, exit context.CancelFunc) error {
@@ -380,6 +329,9 @@
 	}
 	last := n.entry.Version()
 	n.entry.SetPolicy(p)
+	for _, l := range n.listeners {
+		l.SetLimits(connLimits(p.Clients))
+	}
 	if p.Version > last {
 		n.owner.SetPolicy(p)
 		n.logger("config").WithFields(logrus.Fields{"version": p.Version, "last": last}).Info("configuration in force")
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -25,6 +25,9 @@
 	CoreShare float64
 	LinkMbps  float64
 	Limits    fleet.Limits
+	// MaxFiles is the number of descriptors that the process may open; 0 means as many as the
+	// system lets it.
+	MaxFiles int
 	// Grace is the time between the order to stop and a forced stop.
 	Grace time.Duration
 	// LogLevel is the lowest log level that is written.
--- a/io/parse/settings.go
+++ b/io/parse/settings.go
@@ -17,6 +17,10 @@
 	// minDuration and maxDuration are the limits of every duration in the settings.
 	minDuration = 500 * time.Millisecond
 	maxDuration = 10 * time.Minute
+	// minMemory, maxMemory and defaultMemory are in megabytes.
+	minMemory, maxMemory, defaultMemory = 64, 1 << 20, 128
+	// minFiles is the least number of descriptors.
+	minFiles = 512
 	// maxCells is the largest number of cells in a region.
 	maxCells = 1024
 )
@@ -43,6 +47,10 @@
 	WorkerTTL time.Duration
 	// DrainTimeout is the longest duration of a planned stop.
 	DrainTimeout time.Duration
+	// Memory is what the process may use, in bytes, and Files how many descriptors; 0 means as
+	// many as the system lets it open.
+	Memory int64
+	Files  int
 	// LogLevel is the lowest level of log lines, and LogFormat their form, text or
 	// json.
 	LogLevel  string
@@ -68,6 +76,8 @@
 	{"session", "time", member.DefaultTTL.String(), "lease of a process: how long it may fail to renew its session before its cells are taken over"},
 	{"worker", "time", cell.DefaultWorkerTTL.String(), "lease of a worker: how long it runs tasks without a heartbeat before it stops them"},
 	{"drain", "time", "30s", "how long a planned stop waits for requests in flight and the release of cells"},
+	{"memory", "MB", "128", "memory of the process, from which the limits of its connections follow"},
+	{"files", "count", "that of the system", "descriptors of the process, from which the limits of its connections follow"},
 	{"level", "debug, info, warn, error", "info", "lowest level of log lines"},
 	{"form", "text, json", "text", "form of log lines"},
 }
@@ -86,6 +96,8 @@
 	Session  string `toml:"session"`
 	Worker   string `toml:"worker"`
 	Drain    string `toml:"drain"`
+	Memory   int    `toml:"memory"`
+	Files    int    `toml:"files"`
 	Level    string `toml:"level"`
 	Form     string `toml:"form"`
 }
@@ -159,7 +171,7 @@
 func ReadSettings(file string, text []byte, role core.Role) (Settings, error) {
 	f := settingsFile{
 		Cells: 1, Session: member.DefaultTTL.String(), Worker: cell.DefaultWorkerTTL.String(),
-		Drain: "30s", Level: "info", Form: "text",
+		Drain: "30s", Memory: defaultMemory, Level: "info", Form: "text",
 	}
 	c := &settingsChecker{file: file, lines: settingLines(text)}
 	if err := decode(text, &f); err != nil {
@@ -176,6 +188,13 @@
 	if s.Public = c.addr("public", f.Public, false); !s.Public.IsValid() {
 		s.Public = s.Peers
 	}
+	s.Memory, s.Files = int64(f.Memory)<<20, f.Files
+	if f.Memory < minMemory || f.Memory > maxMemory {
+		c.addError("memory", "%d MB is outside %d to %d", f.Memory, minMemory, maxMemory)
+	}
+	if f.Files != 0 && f.Files < minFiles {
+		c.addError("files", "%d is below %d", f.Files, minFiles)
+	}
 	if f.Cells < 1 || f.Cells > maxCells {
 		c.addError("cells", "%d is outside 1 to %d", f.Cells, maxCells)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -30,9 +31,20 @@
 	backend Backend
 }
 
+const (
+	// maxHeaderBytes bounds the headers of a call, which are some 200 bytes.
+	maxHeaderBytes = 16 << 10
+	// maxStreams bounds the calls that a peer has in flight; further ones wait at the peer.
+	maxStreams = 1000
+	// setupTimeout bounds the time until a connection has been set up.
+	setupTimeout = 3 * time.Second
+)
+
 // NewServer returns a gRPC server that passes calls to a backend.
-func NewServer(b Backend) *grpc.Server {
-	s := grpc.NewServer()
+func NewServer(b Backend, opts ...grpc.ServerOption) *grpc.Server {
+	opts = append(opts, grpc.MaxHeaderListSize(maxHeaderBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.ConnectionTimeout(setupTimeout),
+		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))
+	s := grpc.NewServer(opts...)
 	wire.RegisterPeerServer(s, &server{backend: b})
 	return s
 }
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,6 +20,7 @@
 	"chicoryturn/core"
 	"chicoryturn/core/member"
 	"chicoryturn/io/agent"
+	"chicoryturn/io/conns"
 	"chicoryturn/io/gate"
 	"chicoryturn/io/httpx"
 	"chicoryturn/io/loop"
@@ -30,8 +32,20 @@
 	"chicoryturn/io/work"
 )
 
-// sessionIDBytes is the number of random bytes in a session ID.
-const sessionIDBytes = 6
+const (
+	// sessionIDBytes is the number of random bytes in a session ID.
+	sessionIDBytes = 6
+	// memoryLimitShare is the share of the process's memory from which on the Go runtime
+	// forces garbage collections.
+	memoryLimitShare = 0.75
+	// gcPercent is the growth of the heap, in percent, that starts a garbage collection. It is
+	// low since requests that are discarded must not add up to the memory of the process.
+	gcPercent = 50
+	// readBuffer is the kernel's buffer of a connection in bytes. Bodies of calls have up to 8 MB.
+	readBuffer = 64 << 10
+	// bodyShare is the share of a gate's memory that the bodies of calls may take.
+	bodyShare = 0.3
+)
 
 // ListenError reports an address that cannot be bound.
 type ListenError struct {
@@ -90,13 +104,20 @@
 	Drained() <-chan struct{}
 }
 
-// Serve starts an HTTP server on a listener in the group. The server runs until the
-// context ends.
+// connLimits are the limits of each connection of a client.
+var connLimits = conns.WithLimits(conns.Limits{HeaderBytes: httpx.MaxHeader, HeaderTimeout: httpx.HeaderTimeout, IdleTimeout: httpx.IdleTimeout})
+
+// Serve starts an HTTP server on a listener in the group, for clients that are trusted. The
+// server runs until the context ends.
 func Serve(ctx context.Context, group *errgroup.Group, l net.Listener, h http.Handler) {
-	srv := &http.Server{
+	Run(ctx, group, l, &http.Server{
 		Handler: h, ReadHeaderTimeout: httpx.HeaderTimeout, IdleTimeout: httpx.IdleTimeout, MaxHeaderBytes: httpx.MaxHeader,
 		ErrorLog: nil,
-	}
+	})
+}
+
+// Run runs an HTTP server on a listener in the group until the context ends.
+func Run(ctx context.Context, group *errgroup.Group, l net.Listener, srv *http.Server) {
 	group.Go(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -178,17 +199,26 @@
 	st := store.New(s.Platform)
 	p, a, callersHandler, callersListener := build(l, st, pool, m, log)
 	meter.RegisterStore(st)
-	peerServer := peer.NewServer(p)
+	resources := conns.Resources{Memory: s.Memory, Files: s.Files}
+	bound := func(l net.Listener, name string, share conns.Share, opts ...conns.Option) *conns.Listener {
+		return conns.New(l, name, resources.Bounds(share), log, opts...)
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
+	peerServer := peer.NewServer(p, conns.StreamStats())
 	group.Go(func() error { return p.Run(ctx) })
-	group.Go(func() error { return peerServer.Serve(peers) })
+	group.Go(func() error { return peerServer.Serve(bound(peers, "peers", conns.PeerShare)) })
 	group.Go(func() error {
 		<-ctx.Done()
 		peerServer.Stop()
 		return nil
 	})
-	Serve(ctx, group, ops, httpx.Ops(p, a))
+	// Rules files are bounded by their handlers, one at a time.
+	opsListener := bound(ops, "ops", conns.OperatorShare, connLimits, conns.WithReadBuffer(readBuffer))
+	Run(ctx, group, opsListener, opsListener.Server(httpx.Ops(p, a)))
 	if callersHandler != nil {
-		Serve(ctx, group, callersListener, callersHandler)
+		l := bound(callersListener, "callers", conns.ClientShare, connLimits, conns.WithReadBuffer(readBuffer), conns.WithBodies(int64(bodyShare*float64(s.Memory))))
+		Run(ctx, group, l, l.Server(callersHandler))
 	}
 	log.Infof("started; listening for peers on %s and for operators on %s", s.Peers, s.Ops)
 	group.Go(func() error { return shutdown(ctx, s, stop, p, log, cancel) })
