io/conns: count a connection as closed when it has been

Cause: a connection that is chosen and then kept, as its request became complete, was counted as closed; one whose headers were too long was kept after the server had been told that it is closed.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -182,6 +182,7 @@
 // end ends the reads, or the writes, of connections; the caller holds the lock.
 func (l *Listener) end(entries []*entry, why reason) {
 	for _, e := range entries {
+		e.conn.why = why
 		// An error means that the connection has been closed.
 		if e.phase == sending {
 			_ = e.conn.Conn.SetWriteDeadline(e.since.Add(grace))
@@ -189,8 +190,6 @@
 		}
 		_ = e.conn.Conn.SetReadDeadline(longAgo)
 	}
-	l.closures[why].Add(len(entries))
-	l.unlogged[why] += len(entries)
 }
 
 // unlockAndLog releases the lock and logs how many connections were closed, unless the last
@@ -233,6 +232,10 @@
 	// listener.
 	entry   entry
 	streams int
+	// why is the reason if the connection is to be closed, refused whether the server has been
+	// told so; guarded likewise.
+	why     reason
+	refused bool
 	// uncounted is set while the bytes that arrive belong to no incomplete request that is bounded.
 	uncounted atomic.Bool
 }
@@ -248,7 +251,7 @@
 	l.mu.Lock()
 	defer l.unlockAndLog()
 	if c.entry.chosen {
-		return 0, &ClosedError{l.name}
+		return c.refuse()
 	}
 	if n == 0 {
 		return n, err
@@ -265,15 +268,21 @@
 		// The buffer of a connection that waits for headers is empty, so this does not wait. An
 		// error means that the client has closed the connection.
 		_, _ = c.Conn.Write([]byte(headersTooLong))
-		return 0, &ClosedError{l.name}
+		return c.refuse()
 	}
 	l.end(l.order.heavy(&c.entry, now), tooHeavy)
 	if c.entry.chosen {
-		return 0, &ClosedError{l.name}
+		return c.refuse()
 	}
 	return n, err
 }
 
+// refuse ends the reads of the server for good; the caller holds the lock.
+func (c *Conn) refuse() (int, error) {
+	c.refused = true
+	return 0, &ClosedError{c.listener.name}
+}
+
 // Write implements net.Conn. It fails if the client does not read for writeTimeout, or for
 // refusalTimeout if the connection is to be closed, as others wait for its room.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -365,8 +374,12 @@
 	l := c.listener
 	err := c.Conn.Close()
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlockAndLog()
 	if l.order.remove(&c.entry) {
+		if c.entry.chosen {
+			l.closures[c.why].Inc()
+			l.unlogged[c.why]++
+		}
 		l.gauge.Dec()
 		l.changed.Broadcast()
 	}
@@ -402,7 +415,7 @@
 }
 
 func (c *Conn) completeLocked(p phase) {
-	if c.entry.chosen {
+	if c.entry.chosen && !c.refused {
 		c.listener.order.keep(&c.entry)
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
