--- a/io/node/directives.go
+++ b/io/node/directives.go
@@ -87,6 +87,9 @@
 	version := n.entry.Version()
 	if d.Policy != nil {
 		n.entry.SetPolicy(d.Policy)
+		for _, l := range n.listeners {
+			l.SetLimits(connLimits(d.Policy.Clients))
+		}
 	}
 	n.owner.SetDirectives(d, began)
 	n.directivesAt.Store(int64(began))
