--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -240,19 +240,20 @@
 
 // ParseTaskID is the inverse of TaskID.String.
 func ParseTaskID(s string) (TaskID, bool) {
-	parts := strings.Split(s, ".")
-	if len(parts) != 4 || parts[0] == "" {
+	job, rest, _ := strings.Cut(s, ".")
+	if job == "" {
 		return TaskID{}, false
 	}
 	var n [3]int
-	for i, p := range parts[1:] {
-		v, err := strconv.Atoi(p)
-		if err != nil || v < 0 {
+	for i := range n {
+		part, after, hasMore := strings.Cut(rest, ".")
+		v, err := strconv.Atoi(part)
+		if isLast := i == len(n)-1; err != nil || v < 0 || hasMore == isLast {
 			return TaskID{}, false
 		}
-		n[i] = v
+		n[i], rest = v, after
 	}
-	return TaskID{PhaseID{core.JobID(parts[0]), n[0], n[1]}, n[2]}, true
+	return TaskID{PhaseID{core.JobID(job), n[0], n[1]}, n[2]}, true
 }
 
 // TaskIDError reports a text that is not a task's ID.
