--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -107,7 +107,7 @@
 func withHook(h logrus.Hook) func(*logrus.Logger) { return func(l *logrus.Logger) { l.AddHook(h) } }
 
 // startOwner starts an owner that runs until the test ends.
-func startOwner(t *testing.T, deps allDeps, holder core.SessionID, p *policy.Policy, opts ...func(*logrus.Logger)) *owner.Owner {
+func startOwner(t testing.TB, deps allDeps, holder core.SessionID, p *policy.Policy, opts ...func(*logrus.Logger)) *owner.Owner {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
