Heartbeats of one length share a timer

Cause: each heartbeat started a timer of the runtime, with closures to start, stop and report it.

Change: package timer keeps the waits of each length in a queue with one timer. The times at which heartbeats count as failed are the same: they run from the beginning of the call, as before. The call no longer keeps its order.

--- a/io/owner/heartbeat.go
+++ b/io/owner/heartbeat.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"chicoryturn/core"
 	"chicoryturn/core/fleet"
+	"chicoryturn/io/timer"
 )
 
 const (
@@ -19,28 +21,23 @@
 
 // heartbeatCall is a heartbeat without an answer. Only the control goroutine uses its fields.
 type heartbeatCall struct {
-	order  fleet.Order
+	worker core.WorkerID
+	epoch  core.Epoch
 	cancel context.CancelFunc
 	// overdue is set once the heartbeat counts as failed, ended once the call has ended.
 	overdue, ended bool
 }
 
-// watchHeartbeat returns the context of the call and the call itself, which counts as failed
-// when its time is over. Stop ends the watch.
-func (o *Owner) watchHeartbeat(ctx context.Context, ord fleet.Order) (callCtx context.Context, c *heartbeatCall, stop func()) {
-	callCtx, cancel := context.WithCancel(ctx)
-	c = &heartbeatCall{order: ord, cancel: cancel}
+// watchHeartbeat returns the context of the call, the call itself, and the wait after which it
+// counts as failed. The call ends with the wait and the context.
+func (o *Owner) watchHeartbeat(ctx context.Context, ord fleet.Order) (context.Context, *heartbeatCall, *timer.Wait[*heartbeatCall]) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &heartbeatCall{worker: ord.Worker, epoch: ord.Epoch, cancel: cancel}
 	timeout := ord.Wait + answerSlack
 	if ord.Wait == 0 {
 		timeout = noWaitTimeout
 	}
-	timer := time.AfterFunc(timeout, func() {
-		o.post(func(o *Owner, now time.Time) { o.heartbeatOverdue(now, c) })
-	})
-	return callCtx, c, func() {
-		timer.Stop()
-		cancel()
-	}
+	return ctx, c, o.answerWaits.Start(timeout, c)
 }
 
 // heartbeatOverdue counts a heartbeat as failed. Its answer is awaited further, as an owner that
@@ -51,13 +48,13 @@
 		return
 	}
 	c.overdue = true
-	if o.late[c.order.Worker] == nil {
-		o.late[c.order.Worker] = c
+	if o.late[c.worker] == nil {
+		o.late[c.worker] = c
 	} else {
 		c.cancel()
 	}
-	if o.scheduler != nil && o.scheduler.Epoch() == c.order.Epoch {
-		o.scheduler.HeartbeatFailed(now, c.order.Worker)
+	if o.scheduler != nil && o.scheduler.Epoch() == c.epoch {
+		o.scheduler.HeartbeatFailed(now, c.worker)
 		o.tickSoon(now)
 	}
 }
@@ -65,8 +62,8 @@
 // heartbeatEnded records that a call has ended. It reports whether it has been counted as failed.
 func (o *Owner) heartbeatEnded(c *heartbeatCall) (overdue bool) {
 	c.ended = true
-	if o.late[c.order.Worker] == c {
-		delete(o.late, c.order.Worker)
+	if o.late[c.worker] == c {
+		delete(o.late, c.worker)
 	}
 	return c.overdue
 }
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -11,6 +11,7 @@
 	"chicoryturn/core/lanes"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
+	"chicoryturn/io/timer"
 )
 
 const (
@@ -85,9 +86,10 @@
 		}
 		var call *heartbeatCall
 		if e.Kind == fleet.OrderHeartbeat {
-			var stop func()
-			ctx, call, stop = o.watchHeartbeat(ctx, e.Order)
-			defer stop()
+			var wait *timer.Wait[*heartbeatCall]
+			ctx, call, wait = o.watchHeartbeat(ctx, e.Order)
+			defer call.cancel()
+			defer wait.Stop()
 		}
 		o.send(ctx, e.Order, p, &out)
 		return replyHandler(e.Order, p, call, out)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -21,6 +21,7 @@
 	"chicoryturn/io/loop"
 	"chicoryturn/io/record"
 	"chicoryturn/io/table"
+	"chicoryturn/io/timer"
 )
 
 const (
@@ -126,8 +127,11 @@
 	lanes *lanes.Lanes
 	// late holds, for each worker, the first heartbeat that counts as failed and may still be
 	// answered.
-	late  map[core.WorkerID]*heartbeatCall
-	peers *peers
+	late map[core.WorkerID]*heartbeatCall
+	// answerWaits holds the waits after which heartbeats count as failed; any goroutine may use
+	// it.
+	answerWaits *timer.Set[*heartbeatCall]
+	peers       *peers
 	// onOwner is called when the owner of the fleet changes and when this process
 	// starts to schedule.
 	onOwner func(rec elect.Record, isOwner bool)
@@ -215,6 +219,9 @@
 		onOwner: func(elect.Record, bool) {}, onRecord: func(elect.Record) {}, onWorkers: func([]fleet.WorkerInfo) {}, onTick: func() {}, abandonLoad: func() {},
 		drained: make(chan struct{}),
 	}
+	o.answerWaits = timer.New(func(c *heartbeatCall) {
+		o.post(func(o *Owner, now time.Time) { o.heartbeatOverdue(now, c) })
+	})
 	for _, opt := range opts {
 		opt(o)
 	}
