Outcomes without a line build no fields; ticks without work sort nothing

Cause: each heartbeat, start and stop built the map of its log fields, texts of durations and of the task included, though only failures and late starts have a line. Each tick of the control goroutine sorted the empty lists of waiting lanes and of unstored jobs, and each order read the boot time by a system call once more when it was launched.

Change: the fields are built once it is known that there is a line; empty lists are left alone; the orders of one tick share a reading, so that the age of an order at its sending counts from the same moment or an earlier one than before.

--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -69,7 +69,7 @@
 			s.isolation.groups = s.isolation.groups[1:]
 		}
 	}
-	if len(rows) == 0 {
+	if len(rows) == 0 && len(s.dirty) > 0 {
 		for _, j := range slices.SortedFunc(maps.Values(s.dirty), func(x, y *Job) int { return cmp.Compare(x.dirtySince, y.dirtySince) }) {
 			add(j)
 		}
--- a/core/lanes/lanes.go
+++ b/core/lanes/lanes.go
@@ -99,6 +99,9 @@
 
 // Next removes and returns the orders that must be sent now. Each ends with a call of Done.
 func (s *Lanes) Next(now time.Time) []Entry {
+	if len(s.waiting) == 0 {
+		return nil
+	}
 	var out []Entry
 	for _, worker := range slices.SortedFunc(maps.Keys(s.waiting), cmp.Compare) {
 		l := s.waiting[worker]
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -44,11 +44,12 @@
 // dispatch sends heartbeats and queues starts and stops, which were decided at the given boot
 // time.
 func (o *Owner) dispatch(orders []fleet.Order, decided time.Duration) {
+	launched := clock.BootTime()
 	for _, ord := range orders {
 		o.permitOrder(ord, decided)
 		e := lanes.Entry{Order: ord, Decided: decided}
 		if ord.Kind == fleet.OrderHeartbeat {
-			o.launch(e, nil)
+			o.launch(e, nil, launched)
 		} else {
 			o.lanes.Add(e)
 		}
@@ -57,7 +58,12 @@
 
 // sendQueued sends the orders whose turn has come. Those that no longer hold end unsent.
 func (o *Owner) sendQueued(now time.Time) {
-	for _, e := range o.lanes.Next(now) {
+	entries := o.lanes.Next(now)
+	if len(entries) == 0 {
+		return
+	}
+	launched := clock.BootTime()
+	for _, e := range entries {
 		p := o.permits[e.Task]
 		if p != nil && p.run != e.Run {
 			// It is that of another run.
@@ -65,19 +71,19 @@
 		}
 		switch {
 		case e.Kind == fleet.OrderStop:
-			o.launch(e, nil)
+			o.launch(e, nil, launched)
 		case p == nil || p.used.Load():
-			out := outcome{sentAt: now, delay: clock.BootTime() - e.Decided, reply: fleet.ReplyNotSent, err: &WithdrawnError{}}
+			out := outcome{sentAt: now, delay: launched - e.Decided, reply: fleet.ReplyNotSent, err: &WithdrawnError{}}
 			replyHandler(e.Order, p, nil, out)(o, now)
 		default:
-			o.launch(e, p)
+			o.launch(e, p, launched)
 		}
 	}
 }
 
-// launch sends an order on a goroutine of its own. P is the permit of a start.
-func (o *Owner) launch(e lanes.Entry, p *permit) {
-	launched := clock.BootTime()
+// launch sends an order on a goroutine of its own. P is the permit of a start. Launched is the boot
+// time at which the turn of this order, and of others, has come: reading it is a system call.
+func (o *Owner) launch(e lanes.Entry, p *permit, launched time.Duration) {
 	o.async(func(ctx context.Context) func(*Owner, time.Time) {
 		begins := clock.BootTime()
 		out := outcome{sentAt: time.Now(), delay: begins - e.Decided, reply: fleet.ReplyNotSent}
@@ -180,6 +186,22 @@
 // late or if its owner's epoch has ended meanwhile. The other starts have a line for the
 // decision alone.
 func (o *Owner) logOutcome(ord fleet.Order, out outcome, isCurrent bool) {
+	isStart := ord.Kind == fleet.OrderStart
+	switch {
+	case !isStart && out.err != nil && isCurrent:
+		o.outcomeFields(ord, out).WithField("order", callNames[ord.Kind]).Warn("order not confirmed")
+	case !isStart:
+	case !isCurrent:
+		o.outcomeFields(ord, out).Warn("start answered after the end of its epoch")
+	case out.reply != fleet.ReplyOK:
+		o.outcomeFields(ord, out).Warn("start not confirmed")
+	case max(out.delay, out.took) > lateStart:
+		o.outcomeFields(ord, out).Info("start confirmed late")
+	}
+}
+
+// outcomeFields returns a log entry with the fields of an outcome. Most outcomes have no line.
+func (o *Owner) outcomeFields(ord fleet.Order, out outcome) *logrus.Entry {
 	f := logrus.Fields{"worker": ord.Worker, "epoch": ord.Epoch, "sent": ageText(out.delay), "after": ageText(out.took), "reply": out.reply.String()}
 	if ord.Kind != fleet.OrderHeartbeat {
 		f["job"], f["task"], f["run"] = ord.Task.Job, ord.Task.String(), ord.Run
@@ -187,17 +209,5 @@
 	if out.err != nil {
 		f[logrus.ErrorKey] = out.err
 	}
-	switch {
-	case ord.Kind != fleet.OrderStart:
-		if out.err != nil && isCurrent {
-			f["order"] = callNames[ord.Kind]
-			o.log.WithFields(f).Warn("order not confirmed")
-		}
-	case !isCurrent:
-		o.log.WithFields(f).Warn("start answered after the end of its epoch")
-	case out.reply != fleet.ReplyOK:
-		o.log.WithFields(f).Warn("start not confirmed")
-	case max(out.delay, out.took) > lateStart:
-		o.log.WithFields(f).Info("start confirmed late")
-	}
+	return o.log.WithFields(f)
 }
