The text of a task's ID needs one allocation

Cause: the text is built three times for each run (decision, order, end), and each time from three concatenations.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -219,9 +219,16 @@
 	Phase      int
 }
 
+// idBytes is the length up to which the text of an ID needs one allocation.
+const idBytes = 64
+
 // String returns the form job.occurrence.phase.
-func (p PhaseID) String() string {
-	return string(p.Job) + "." + strconv.Itoa(p.Occurrence) + "." + strconv.Itoa(p.Phase)
+func (p PhaseID) String() string { return string(p.appendText(make([]byte, 0, idBytes))) }
+
+func (p PhaseID) appendText(b []byte) []byte {
+	b = append(append(b, p.Job...), '.')
+	b = append(strconv.AppendInt(b, int64(p.Occurrence), 10), '.')
+	return strconv.AppendInt(b, int64(p.Phase), 10)
 }
 
 // TaskID names one task.
@@ -231,7 +238,11 @@
 }
 
 // String returns the form job.occurrence.phase.index.
-func (t TaskID) String() string { return t.PhaseID.String() + "." + strconv.Itoa(t.Index) }
+func (t TaskID) String() string { return string(t.appendText(make([]byte, 0, idBytes))) }
+
+func (t TaskID) appendText(b []byte) []byte {
+	return strconv.AppendInt(append(t.PhaseID.appendText(b), '.'), int64(t.Index), 10)
+}
 
 // Compare orders tasks by job, occurrence, phase and index.
 func (t TaskID) Compare(other TaskID) int {
@@ -263,7 +274,7 @@
 func (e *TaskIDError) Error() string { return "not a task's ID: " + strconv.Quote(e.Text) }
 
 // MarshalText implements encoding.TextMarshaler.
-func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+func (t TaskID) MarshalText() ([]byte, error) { return t.appendText(nil), nil }
 
 // UnmarshalText implements encoding.TextUnmarshaler. It returns a TaskIDError.
 func (t *TaskID) UnmarshalText(text []byte) error {
