--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -93,7 +93,7 @@
 	a.requestedAt, a.lostAt = time.Time{}, time.Time{}
 	a.received = true
 	if a.allowed == nil {
-		a.allowed, a.named = map[core.WorkerID]ticket{}, core.NewSet[core.WorkerID]()
+		a.allowed, a.named = make(map[core.WorkerID]ticket, len(allowed)), make(core.Set[core.WorkerID], len(named))
 	}
 	namedBefore := len(a.named)
 	for _, w := range named {
--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -244,7 +244,8 @@
 // Decisions returns the decisions since the last call and clears them.
 func (s *Scheduler) Decisions() []Decision {
 	out := s.decisions
-	s.decisions = nil
+	// The next tick decides about as many.
+	s.decisions = make([]Decision, 0, len(out))
 	return out
 }
 
@@ -266,7 +267,8 @@
 // them.
 func (s *Scheduler) Orders() []Order {
 	out := s.orders
-	s.orders = nil
+	// The next tick decides about as many.
+	s.orders = make([]Order, 0, len(out))
 	return out
 }
 
