Lists of a tick grow as before

Cause: TestMemoryEstimates/many_tasks failed on (863,232 bytes taken, 786,190 estimated): a list that begins with the length of the last one keeps the memory of a burst.

Change: orders and decisions begin with nothing again; the advisor's answers still begin with their size. go test ./core/fleet passes.

--- a/core/fleet/scheduler.go
+++ b/core/fleet/scheduler.go
@@ -244,8 +244,7 @@
 // Decisions returns the decisions since the last call and clears them.
 func (s *Scheduler) Decisions() []Decision {
 	out := s.decisions
-	// The next tick decides about as many.
-	s.decisions = make([]Decision, 0, len(out))
+	s.decisions = nil
 	return out
 }
 
@@ -267,8 +266,7 @@
 // them.
 func (s *Scheduler) Orders() []Order {
 	out := s.orders
-	// The next tick decides about as many.
-	s.orders = make([]Order, 0, len(out))
+	s.orders = nil
 	return out
 }
 
