Pool: test of a call that gives up while its server is forgotten

Cause: when the opening for the last waiting call fails, the pool forgets the server. If that call gives up at the same moment, it forgets the server once more by its address, and with that a new entry for the same address that another call has made by then. The connections of that entry are never used again, never closed when idle, and not counted for the limit of one server.

--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -186,3 +186,30 @@
 		time.Sleep(2 * idleTimeout) // the sweep ends with the last connection
 	})
 }
+
+// TestGivenUpWhileForgotten guards against connections that are never closed: a call gives up at the
+// moment at which the opening of its connection fails, and others open one to the same server by then.
+func TestGivenUpWhileForgotten(t *testing.T) {
+	for range 300 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d, p := newPool()
+			d.fails.Store(true)
+			for range limit {
+				go func() { _, _ = p.Get(t.Context(), addr, dialTime) }()
+			}
+			time.Sleep(dialTime)
+			for range limit {
+				go func() {
+					if c, err := p.Get(t.Context(), addr, longWait); err == nil {
+						p.Put(c)
+					}
+				}()
+			}
+			synctest.Wait()
+			d.fails.Store(false)
+			time.Sleep(3 * idleTimeout)
+			is.Equal(d.open.Load(), int64(0))
+		})
+	}
+}
