Pool: forget a server only if it is the one at its address

Cause: a call that gives up as its server is forgotten removed a later entry for the same address; its connections were neither used, nor counted for the limit, nor closed.

Change: forgetUnused compares the entry.

Result: go test -race -count=3 ./io/pool passes; TestGivenUpWhileForgotten failed before.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -257,8 +257,10 @@
 	p.forgetUnused(s)
 }
 
+// forgetUnused forgets a server without connections and calls. A call that has given up may name
+// one that is forgotten already, at whose address there is another by now.
 func (p *Pool) forgetUnused(s *server) {
-	if s.open == 0 && len(s.waiting) == 0 {
+	if s.open == 0 && len(s.waiting) == 0 && p.servers[s.addr] == s {
 		delete(p.servers, s.addr)
 	}
 }
