Admission: test of accepted work that stands in front of nobody

Cause: a VM adds to the summary the whole work of each job that it accepts: also that of repeated, long-running, filling and labelled jobs, which the owner leaves out, and that of phases that open only after others. Until the next summary, 3 s at most, it refuses jobs for that, although the estimate is meant to be a lower bound.

Test: go test ./core/load -run TestOnlyOpenWorkCounts fails in all five cases (queue instead of in-time); the change follows.

--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -158,6 +158,35 @@
 	is.Equal(d.Decide(4*time.Second, day, newJob("j", 1, false)).Reason, load.Stale)
 }
 
+// TestOnlyOpenWorkCounts guards against refusals because of jobs of which no work stands in front of
+// others: those that the owner leaves out of its summary, and phases that open later.
+func TestOnlyOpenWorkCounts(t *testing.T) {
+	first := jobs.Phase{Count: 1, Need: core.Resources{Cores: 1000}, Estimate: time.Millisecond}
+	large := first
+	large.Count, large.Estimate = 1000, time.Hour
+	with := func(change func(*jobs.Phase)) []jobs.Phase {
+		p := large
+		change(&p)
+		return []jobs.Phase{p}
+	}
+	for name, spec := range map[string]jobs.Spec{
+		"repeated":     {Repeat: 2, Phases: []jobs.Phase{large}},
+		"filler":       {Phases: with(func(p *jobs.Phase) { p.Filler = true })},
+		"long-running": {Phases: with(func(p *jobs.Phase) { p.LongRunning = true })},
+		"labelled":     {Phases: with(func(p *jobs.Phase) { p.Label = "l" })},
+		"later phase":  {Phases: append([]jobs.Phase{first}, with(func(p *jobs.Phase) { p.After = []int{0} })...)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := load.NewDoor()
+			d.Observe(0, newSummary(1, newLine(slack), 0))
+			spec.ID, spec.Team, spec.Queue = "first", "t", "q"
+			d.Accepted(load.NewJob(&spec, "s", usefulTime))
+			is.Equal(d.Decide(0, day, newJob("j", 1, false)).Reason, load.InTime)
+		})
+	}
+}
+
 // TestPause guards against refusals by a summary that was read before a pause of the process.
 func TestPause(t *testing.T) {
 	is := is.New(t)
