Admission: count only accepted work that the owner counts, too

Change: the work of a job is that of the phases that are open from the beginning, and jobs of which nothing is predicted are not counted.

--- a/core/load/door.go
+++ b/core/load/door.go
@@ -120,9 +120,10 @@
 	return found, ok
 }
 
-// Accepted records that a job has been stored.
+// Accepted records that a job has been stored. The owner counts no work of jobs of which nothing
+// is predicted.
 func (d *Door) Accepted(j Job) {
-	if d.summary == nil {
+	if d.summary == nil || j.Useful <= 0 {
 		return
 	}
 	for _, l := range []line{{"", j.Queue}, {j.Team, j.Queue}} {
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -142,7 +142,8 @@
 	// Useful is the time from its acceptance after which its end is worth nothing to its client;
 	// 0 if that, or the room that may run the job, is not known.
 	Useful time.Duration
-	// Run is the declared run time of its critical path, Work what all of its tasks take.
+	// Run is the declared run time of its critical path, Work what the tasks of the phases take that
+	// are open from the beginning.
 	Run  time.Duration
 	Work Amount
 	// Need and Together are those of the narrowest phase that can start first: what one task
@@ -166,7 +167,9 @@
 			j.Useful = 0
 		}
 		count, seconds := float64(p.Count), p.Estimate.Seconds()
-		j.Work = j.Work.Add(NewAmount(count*float64(p.Need.Cores)*seconds, count*float64(p.Need.Memory)*seconds))
+		if len(p.After) == 0 {
+			j.Work = j.Work.Add(NewAmount(count*float64(p.Need.Cores)*seconds, count*float64(p.Need.Memory)*seconds))
+		}
 		together := 1
 		if p.Gang {
 			together = p.Count
