Entry: test of repeated calls for a stored job

Cause: each successful call for a job adds the job's work to what the VM has accepted since the last summary, also a repeated one for a job that an earlier call has stored. Clients that repeat their calls raise the estimate with work that does not exist, and other jobs are refused for it.

--- a/io/entry/door_test.go
+++ b/io/entry/door_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -148,3 +149,31 @@
 	observe("owner", 6, 30) // may have been read before the pause
 	is.NoErr(submit("f"))
 }
+
+// TestRepeatedCallsCountOnce guards against refusals of other jobs because clients repeat calls for a job
+// that is stored already, and whose work the owner's summary holds.
+func TestRepeatedCallsCountOnce(t *testing.T) {
+	is := is.New(t)
+	accepted := time.Unix(100, 0)
+	deps := &fakeDeps{connected: true, storedAt: map[core.JobID]time.Time{"a": accepted}}
+	e := newEntry(deps, entry.WithClock(func() time.Duration { return time.Hour }))
+	e.SetPolicy(policy.New(5, []policy.Queue{{Name: "q", Host: "h", Prefix: "/", Service: "s", Slowdown: 2, Latency: time.Second}}, []policy.Team{{Name: "t", Keys: []string{"k"}}}, []policy.Service{{Name: "s"}}, 0))
+	submit := func(id string, at time.Time) error {
+		return e.Submit(context.Background(), jobs.Spec{ID: core.JobID(id), Team: "t", Queue: "q", Accepted: at, Phases: []jobs.Phase{{Count: 1, Need: core.Resources{Cores: 1000}, Estimate: time.Second}}})
+	}
+	b := load.NewBuilder(time.Unix(1, 0))
+	b.AddQueue("s", "q", load.Line{Ahead: load.NewAmount(8000, 0), Room: load.NewAmount(1000, 0), Ratio: 1}, load.Slots{})
+	e.SetRecord(elect.Record{Holder: "owner", Load: b.Summary()})
+	for i := range 20 { // each takes 1 s of the workers; 2 s are left up to the level of refusal
+		is.NoErr(submit("a", accepted.Add(time.Duration(i+1)*time.Second)))
+	}
+	is.NoErr(submit("b", accepted))
+	is.Equal(len(deps.refused), 0)
+	for i := range 20 {
+		if err := submit(fmt.Sprint("c", i), accepted); err != nil {
+			is.Equal(code(err), core.CodeOverload)
+			return
+		}
+	}
+	is.Fail() // others do count
+}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -27,6 +27,8 @@
 	accepted     []core.JobID
 	notified     []core.JobID
 	storedStates map[core.JobID]jobs.State
+	// storedAt holds when jobs were accepted that earlier calls have stored.
+	storedAt map[core.JobID]time.Time
 	// connected is set if the owner answers; ownerStates holds the jobs that it has.
 	connected   bool
 	ownerStates map[core.JobID]jobs.State
@@ -44,6 +46,9 @@
 }
 
 func (d *fakeDeps) Accept(_ context.Context, s jobs.Spec) (jobs.Spec, error) {
+	if at, ok := d.storedAt[s.ID]; ok && d.err == nil {
+		s.Accepted = at
+	}
 	if d.err == nil {
 		d.accepted = append(d.accepted, s.ID)
 		d.firstEpochs = append(d.firstEpochs, s.FirstEpoch)
