Entry: count the work of a job once, when it is stored

Change: a call whose job an earlier one has stored adds no work; the store returns the job with the time of the earlier acceptance.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -290,7 +290,10 @@
 		if err != nil {
 			return "", err
 		}
-		e.door.accepted(job)
+		if stored.Accepted.Equal(spec.Accepted) {
+			// Otherwise an earlier call has stored it, and its work is counted already.
+			e.door.accepted(job)
+		}
 		e.link.JobAccepted(stored, early != nil)
 		if early != nil {
 			go func() { e.link.ReportAdvice(<-early) }()
