Fleet: evacuations and cold workers in the comparison of placements

Cause: the evacuation was merged over the new passes of placement, and the test that compares them with exhaustive placement had no evacuated zones, no cold workers and no zones that are not known.

Change: the random plays have them, and check that nothing is started and no request is sent in evacuated zones, or while they are not known.

--- a/core/fleet/sameplace_test.go
+++ b/core/fleet/sameplace_test.go
@@ -87,9 +87,12 @@
 	active   []fleet.Order
 	ends     map[core.WorkerID][]fleet.EndedRun
 	requests []benchAdvice
-	jobs     int
-	starts   int
-	asked    int
+	// zones are evacuated; stale is set while the schedulers may not know all of them.
+	zones  policy.Zones
+	stale  bool
+	jobs   int
+	starts int
+	asked  int
 }
 
 // each passes an input to both twins.
@@ -120,7 +123,7 @@
 	p := s.newPolicy(1)
 	for i := range 24 {
 		w := newWorkerInfo(i)
-		w.Rack, w.Incarnation = fmt.Sprintf("r%d", i/6), startTime
+		w.Rack, w.Incarnation, w.Zone = fmt.Sprintf("r%d", i/6), startTime, core.Zone(fmt.Sprintf("z%d", i%5))
 		w.Capacity.Cores = 2000 + 2000*s.rng.Int64N(3)
 		if i%3 == 0 {
 			w.Labels = []string{"l"}
@@ -132,7 +135,7 @@
 	}
 	for _, opts := range [][]fleet.Option{nil, {fleet.WithExhaustivePlacement()}} {
 		s.twins = append(s.twins, &twin{
-			Scheduler: fleet.New(startTime, 1, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1}, p, opts...), vmFreeAt: make([]time.Time, 6),
+			Scheduler: fleet.New(startTime, 1, fleet.Limits{Lease: leaseDuration, RemoteFactor: 1, Evacuate: 5 * time.Second}, p, opts...), vmFreeAt: make([]time.Time, 6),
 		})
 	}
 	s.each(func(w *twin) {
@@ -230,7 +233,7 @@
 
 // disturb passes a rare input.
 func (s *samePlay) disturb(step int) {
-	switch s.rng.IntN(60) {
+	switch s.rng.IntN(80) {
 	case 0:
 		p := s.newPolicy(core.Version(step + 2))
 		s.each(func(w *twin) { w.SetPolicy(p) })
@@ -244,6 +247,23 @@
 		i := s.rng.IntN(len(s.workers))
 		s.workers[i].Leaving = !s.workers[i].Leaving
 		s.each(func(w *twin) { w.SetWorkers(s.now, fleet.WorkerList{Workers: s.workers}) })
+	case 4:
+		zones := policy.Zones{}
+		for z := range 3 {
+			if s.rng.IntN(4) == 0 {
+				zones[core.Zone(fmt.Sprintf("z%d", z))] = uint64(step + 1)
+			}
+		}
+		s.zones = zones
+		s.each(func(w *twin) { w.SetEvacuated(s.now, zones) })
+	case 5:
+		i := s.rng.IntN(len(s.workers))
+		s.workers[i].ColdFor, s.workers[i].Renewals = time.Duration(s.rng.IntN(3000))*time.Millisecond, s.workers[i].Renewals+1
+		s.each(func(w *twin) { w.SetWorkers(s.now, fleet.WorkerList{Workers: s.workers}) })
+	case 6, 7:
+		unread := time.Duration(s.rng.IntN(3)) * 2 * time.Second
+		s.stale = unread == 4*time.Second
+		s.each(func(w *twin) { w.EvacuatedRead(unread, true) })
 	default:
 		s.heartbeat(s.rng.IntN(len(s.workers)))
 	}
@@ -272,7 +292,9 @@
 	is.Equal(starts, allStarts)
 	is.Equal(requests, allRequests)
 	is.Equal(others, allOthers)
+	is.True(!s.stale || len(starts)+len(requests) == 0)
 	for _, o := range starts {
+		is.True(!s.zones.Has(o.Info.Zone))
 		s.starts++
 		reply := fleet.ReplyOK
 		switch s.rng.IntN(12) {
@@ -286,6 +308,9 @@
 		s.each(func(w *twin) { w.StartAnswered(s.now, o.Worker, o.Task, o.Run, reply) })
 	}
 	for _, r := range requests {
+		for _, w := range s.workers {
+			is.True(!s.zones.Has(w.Zone) || !slices.Contains(r.Workers, w.ID()))
+		}
 		s.asked++
 		s.requests = append(s.requests, benchAdvice{r, s.now.Add(r.Cost)})
 	}
@@ -293,7 +318,8 @@
 
 // TestSamePlacement checks on random plays that the starts, the advice requests and the log
 // lines are those of exhaustive placement, in the same order. It guards against a phase that is left
-// out of a pass though it could start, or that takes its turn too early or too late.
+// out of a pass though it could start, or that takes its turn too early or too late, and against starts
+// and requests in evacuated zones, or while these are not known.
 func TestSamePlacement(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
