Tests: metrics of evacuation and admission, end of a cold start

Cause: TestMetrics did not hold the names of the metrics that the last parts added, and TestColdWorkers ended with an entry that no longer says cold without checking anything. The comment on the shares named the order of before.

Result: go test ./io/node ./core/fleet -run 'TestMetrics|TestColdWorkers' passes; without the handling of such an entry TestColdWorkers fails.

--- a/core/fleet/evacuation_test.go
+++ b/core/fleet/evacuation_test.go
@@ -334,7 +334,13 @@
 	f.workers[0].Renewals, f.workers[0].ColdFor = 2, time.Minute // started again
 	f.SetWorkers(f.now, f.list(f.workers))
 	f.Accept(f.now, newJob("l", 1, false))
-	is.Equal(len(f.nextOrders(fleet.OrderStart)), 1) // the only one with room is cold
+	cold := f.nextOrders(fleet.OrderStart)
+	is.Equal(len(cold), 1) // the only one with room is cold
+	f.confirmStarts(cold)
 	f.workers[0].Renewals, f.workers[0].ColdFor = 3, 0
 	f.SetWorkers(f.now, f.list(f.workers))
+	f.heartbeat(f.workers[0], nil, []fleet.EndedRun{{Number: 3, Task: cold[0].Task, Run: cold[0].Run, Kind: fleet.EndDone, Reason: "done"}})
+	f.heartbeat(f.workers[1], nil, []fleet.EndedRun{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: fleet.EndDone, Reason: "done"}})
+	f.Accept(f.now, newJob("m", 1, false))
+	is.Equal(f.nextOrders(fleet.OrderStart)[0].Worker, core.WorkerID("w0")) // warm before its time was over
 }
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -7,7 +7,7 @@
 )
 
 // A team may submit at once as many jobs as its share allows in shareBurst;
-// further jobs rank behind all others.
+// further jobs rank behind those of their class and priority.
 const shareBurst = 2 * time.Second
 
 // teamShare is a token bucket that measures the jobs that a team submits
--- a/io/node/meter_test.go
+++ b/io/node/meter_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 
 	"chicoryturn/core/fleet"
+	"chicoryturn/core/load"
+	"chicoryturn/core/rank"
 	"chicoryturn/io/node"
 )
 
@@ -28,6 +30,11 @@
 	}
 	m.Call("start", "no room", time.Second)
 	m.Call("test", "ok", time.Second)
+	m.Waiting([rank.Classes]int{rank.OnTime: 26, rank.Late: 27, rank.Useless: 28})
+	m.Evacuated(29)
+	m.Withdrawn(30)
+	m.Refused("q", load.TeamBehind)
+	m.EstimateAge(31 * time.Second)
 	var text bytes.Buffer
 	metrics.WritePrometheus(&text, false)
 	for _, line := range []string{
@@ -38,6 +45,8 @@
 		"chicoryturn_teams_waiting_for_memory 19", "chicoryturn_jobs_parked 20", "chicoryturn_orders_queued 21", "chicoryturn_orders_queued_one_worker 22",
 		"chicoryturn_record_age_seconds 23", "chicoryturn_workers_unreached 24", "chicoryturn_recorded_rows_total 25", "chicoryturn_record_seconds_sum 2", "chicoryturn_plan_seconds_sum 3",
 		`chicoryturn_calls_total{call="start",result="ok"} 2`, `chicoryturn_calls_total{call="start",result="no room"} 1`, `chicoryturn_calls_total{call="test",result="ok"} 1`, `chicoryturn_call_seconds_count{call="start"} 3`,
+		`chicoryturn_phases_waiting{class="on-time"} 26`, `chicoryturn_phases_waiting{class="late"} 27`, `chicoryturn_phases_waiting{class="useless"} 28`,
+		"chicoryturn_zones_evacuated 29", "chicoryturn_starts_withdrawn_total 30", `chicoryturn_refused_total{queue="q",reason="team"} 1`, "chicoryturn_estimate_age_seconds 31",
 	} {
 		if !strings.Contains("\n"+text.String(), "\n"+line+"\n") {
 			t.Errorf("no line %q", line)
