Trace: test of the class of a job that waits

Cause: the log line "waits" has the class of the job, and docs/design/shortage.md says that `chicoryturn why` shows it; it does not print that field.

--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -60,6 +60,15 @@
 	is.Equal(trace.Summary(lines[:2]), "never accepted; last refused: overload (overload: late)")
 }
 
+// TestWaitsWithClass guards against a history that hides whether the job could still be on time
+// while it waited.
+func TestWaitsWithClass(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := trace.Read(strings.NewReader(`{"after":"1.1s","because":"no worker that may run it has room","class":"late","job":"aa","msg":"waits","part":"owner","task":"aa.0.0","time":"06:00:01.200","vm":"a"}`), "aa")
+	is.NoErr(err)
+	is.Equal(lines[0].String(), "06:00:01.200 a                      owner  waits  task=aa.0.0  after=1.1s  because=no worker that may run it has room  class=late")
+}
+
 // TestSummaryOfEnds checks the summary for each end that a job can have, and that other
 // messages about a job are not taken for its end.
 func TestSummaryOfEnds(t *testing.T) {
