--- a/core/fleet/reload_test.go
+++ b/core/fleet/reload_test.go
@@ -167,6 +167,7 @@
 // park, forget and delete jobs, and hear again of old ones, with the faults of
 // TestRandomRepeats. Each case has its own random seed.
 func TestRandomReloads(t *testing.T) {
+	t.Parallel()
 	read, forgotten, repeatedCount := 0, 0, 0
 	for seed := range *repeatSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/core/fleet/repeat_test.go
+++ b/core/fleet/repeat_test.go
@@ -146,6 +146,7 @@
 // TestRandomMemory is TestRandomRepeats with owners that have memory for few of the jobs, some
 // of them wide: jobs are parked, read, and wait for memory around the same faults.
 func TestRandomMemory(t *testing.T) {
+	t.Parallel()
 	parked := 0
 	for seed := range *repeatSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
