--- a/core/fleet/requests.go
+++ b/core/fleet/requests.go
@@ -21,11 +21,11 @@
 	bases []baseCapacity
 	// exhausted counts the entries of bases that no VM accepts any more.
 	exhausted int
-	// hopeful orders the phases for which a request may be worthwhile, lowYield those for which
-	// a request that is unlikely to let tasks start may be sent. Hopeless holds the phases for
+	// promising orders the phases for which a request may be worthwhile, lowYield those for which
+	// a request that is unlikely to let tasks start may be sent. Unpromising holds the phases for
 	// which no request is worthwhile, examined all phases for which that has been found.
-	hopeful, lowYield  turns[adviceLane]
-	hopeless, examined []*phase
+	promising, lowYield   turns[adviceLane]
+	unpromising, examined []*phase
 }
 
 // baseCapacity is whether a VM accepts calls of a duration.
@@ -40,11 +40,11 @@
 // begin begins a round.
 func (a *adviceRound) begin(peers AdvicePeers) {
 	a.peers, a.bases, a.exhausted = peers, a.bases[:0], 0
-	a.hopeful.reset()
+	a.promising.reset()
 	a.lowYield.reset()
-	clear(a.hopeless)
+	clear(a.unpromising)
 	clear(a.examined)
-	a.hopeless, a.examined = a.hopeless[:0], a.examined[:0]
+	a.unpromising, a.examined = a.unpromising[:0], a.examined[:0]
 }
 
 // capacity returns the capacity for calls of a duration. Each duration is first looked up
@@ -112,27 +112,27 @@
 		case p.mayBeWorthRequest():
 			advisor, _ := p.advisor().Get()
 			a.capacity(advisor.Base)
-			a.hopeful.add(adviceLane{base: advisor.Base}, s.rank(p))
+			a.promising.add(adviceLane{base: advisor.Base}, s.rank(p))
 		default:
 			advisor, _ := p.advisor().Get()
 			a.capacity(advisor.Base)
-			a.hopeless = append(a.hopeless, p)
+			a.unpromising = append(a.unpromising, p)
 		}
 	}
-	s.sendHopeful()
+	s.sendPromising()
 	s.sendLowYield()
 }
 
-// sendHopeful sends the worthwhile requests and collects the phases for which there is none.
-func (s *Scheduler) sendHopeful() {
+// sendPromising sends the worthwhile requests and collects the phases for which there is none.
+func (s *Scheduler) sendPromising() {
 	a := &s.round
-	a.hopeful.start()
-	for r, lane, ok := a.hopeful.first(); ok; r, lane, ok = a.hopeful.first() {
+	a.promising.start()
+	for r, lane, ok := a.promising.first(); ok; r, lane, ok = a.promising.first() {
 		if a.capacity(lane.base).exhausted {
-			a.hopeful.drop()
+			a.promising.drop()
 			continue
 		}
-		a.hopeful.pop()
+		a.promising.pop()
 		p := r.phase
 		advisor, _ := p.advisor().Get()
 		if workers := p.workersToRequest(advisor, p.workersWithRoom()); len(workers) > 0 {
@@ -142,7 +142,7 @@
 		}
 		a.examined = append(a.examined, p)
 	}
-	for _, p := range a.hopeless {
+	for _, p := range a.unpromising {
 		advisor, _ := p.advisor().Get()
 		c := a.capacity(advisor.Base)
 		if !c.exhausted {
--- a/core/load/door.go
+++ b/core/load/door.go
@@ -68,7 +68,7 @@
 	gang bool
 }
 
-// threshold is the slack below which jobs are refused. It follows the wait with play: it rises
+// threshold is the slack below which jobs are refused. It follows the wait with hysteresis: it rises
 // when the wait is above beginLevel times it, and falls when that is below endLevel times it. So once a
 // job was refused, one like it is accepted only when the wait has fallen by a fifth.
 type threshold time.Duration
--- a/io/entry/door_test.go
+++ b/io/entry/door_test.go
@@ -102,7 +102,7 @@
 }
 
 // TestUselessJobs guards against jobs that are accepted though they can't end while they are useful to
-// their clients (529 previews on a day of demands/): they are refused with the time to return, and only
+// their clients: they are refused with the time to return, and only
 // by an estimate that holds.
 func TestUselessJobs(t *testing.T) {
 	is := is.New(t)
--- a/io/owner/election.go
+++ b/io/owner/election.go
@@ -12,6 +12,7 @@
 	"chicoryturn/core/elect"
 	"chicoryturn/core/fleet"
 	"chicoryturn/core/lanes"
+	"chicoryturn/core/rank"
 	"chicoryturn/io/clock"
 	"chicoryturn/io/guard"
 	"chicoryturn/io/record"
@@ -167,6 +168,7 @@
 	o.rosterToStore, o.rosterVersion, o.progressToDelete = nil, 0, nil
 	o.meter.SetOwning(false)
 	o.meter.Authority(0, 0)
+	o.meter.Waiting([rank.Classes]int{})
 	o.peers.resetLoads()
 }
 
