--- a/core/check/check.go
+++ b/core/check/check.go
@@ -4,6 +4,7 @@
 package check
 
 import (
+	"fmt"
 	"time"
 
 	"chicoryturn/core"
@@ -73,5 +74,33 @@
 	LargestJob int64
 }
 
+// checker collects findings.
+type checker struct {
+	next     Config
+	policy   *policy.Policy
+	findings []Finding
+}
+
 // Run returns the findings on a configuration, compared with the one in force if that is present.
-func Run(Config, core.Option[Config]) []Finding { return nil }
+func Run(next Config, inForce core.Option[Config]) []Finding {
+	c := &checker{next: next, policy: policy.New(next.Version, next.Queues, next.Teams, next.Services, next.Bounds.MaxBody)}
+	current, ok := inForce.Get()
+	if ok && next.Version <= current.Version {
+		c.add(Errors, Place{}, "version %d is not above version %d, which is in force; it is ignored", next.Version, current.Version)
+	}
+	c.findErrors()
+	c.findUnmatched()
+	c.findContradictions()
+	if ok {
+		c.findChanges(current)
+	}
+	return c.findings
+}
+
+func (c *checker) add(g Group, at Place, format string, args ...any) {
+	c.findings = append(c.findings, Finding{Group: g, Place: at, Text: fmt.Sprintf(format, args...)})
+}
+
+func queueAt(i int, q *policy.Queue) Place     { return Place{InQueues, i, string(q.Name)} }
+func teamAt(i int, t *policy.Team) Place       { return Place{InTeams, i, string(t.Name)} }
+func serviceAt(i int, s *policy.Service) Place { return Place{InService, i, string(s.Name)} }
--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -62,6 +62,10 @@
 	until time.Time
 }
 
+// MinTicketTTL returns the least time before its expiry at which a ticket is due for renewal. A
+// ticket that is not valid for longer is due when it arrives.
+func MinTicketTTL(a policy.Advisor) time.Duration { return ticketSlack + a.Cost(1) }
+
 // AdviceRequest is one call to the placement advisor.
 type AdviceRequest struct {
 	Phase   jobs.PhaseID
