--- a/cmd/chicoryturn/node.go
+++ b/cmd/chicoryturn/node.go
@@ -10,7 +10,6 @@
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/integrii/flaggy"
 
 	"chicoryturn/io/entry"
 	"chicoryturn/io/node"
@@ -68,25 +67,3 @@
 		metrics.NewGauge("chicoryturn_worker_connections"+name, func() float64 { return float64(counter.Load()) })
 	}
 }
-
-// checkCommand returns the subcommand that validates a settings file of the platform.
-func checkCommand() *command {
-	file := ""
-	return &command{
-		name:  "check",
-		about: "Checks a settings file of the platform and prints every error.",
-		flags: func(c *flaggy.Subcommand) { c.AddPositionalValue(&file, "file", 1, true, "settings file (TOML)") },
-		run: func(context.Context) error {
-			text, err := os.ReadFile(file)
-			if err != nil {
-				return &InputError{err.Error()}
-			}
-			local, err := platform.ParseSettings(text)
-			if err != nil {
-				return &InputError{err.Error()}
-			}
-			fmt.Printf("%s: no errors found; VM %s serves callers at %s\n", file, local.Node.VM, local.Node.Callers)
-			return nil
-		},
-	}
-}
--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -17,8 +17,8 @@
 const (
 	// maxTasks bounds the tasks of one job, over all its occurrences.
 	maxTasks = 100_000
-	// maxPayload bounds the payload of a job, in bytes.
-	maxPayload = 4000
+	// MaxPayload bounds the payload of a job, in bytes.
+	MaxPayload = 4000
 	// jobBytes and phaseBytes are what a job and each of its phases take in memory, beside
 	// their texts.
 	jobBytes   = 1800
@@ -103,8 +103,8 @@
 
 // Validate reports why a job cannot be accepted.
 func (s *Spec) Validate() error {
-	if len(s.Payload) > maxPayload {
-		return &SpecError{fmt.Sprintf("payload of %d bytes exceeds the limit of %d", len(s.Payload), maxPayload)}
+	if len(s.Payload) > MaxPayload {
+		return &SpecError{fmt.Sprintf("payload of %d bytes exceeds the limit of %d", len(s.Payload), MaxPayload)}
 	}
 	if len(s.Phases) == 0 {
 		return &SpecError{"no phase is defined"}
