--- a/io/node/node.go
+++ b/io/node/node.go
@@ -40,6 +40,11 @@
 	// gcPercent is the growth of the heap, in percent, that starts a garbage
 	// collection. It is low since peak memory costs more than processor time.
 	gcPercent = 50
+	// ownerGCPercent is the same while the process owns the fleet, on a VM with at least
+	// ownerGCMemory bytes: there an owner has several hundred workers, lacks processor time under load, and
+	// is one of many VMs. The memory limit holds all the same.
+	ownerGCPercent = 200
+	ownerGCMemory  = 400 << 20
 	// memoryLimitShare is the share of the process's memory limit from which on
 	// the Go runtime forces garbage collections.
 	memoryLimitShare = 0.75
@@ -175,6 +180,7 @@
 // the owner or if there is no owner.
 func (n *Node) ownerChanged(l *ownerLink, r elect.Record, isOwner bool) {
 	l.isOwner.Store(isOwner)
+	debug.SetGCPercent(gcPercentFor(isOwner, n.settings.Limits.Memory))
 	n.entry.SetOwner(r)
 	if isOwner || r.Holder == "" {
 		n.linkClient.SetOwner(link.OwnerAddr{})
@@ -214,6 +220,15 @@
 	return g.Wait()
 }
 
+// gcPercentFor returns the growth of the heap that starts a garbage collection, for a process with a
+// memory limit in bytes.
+func gcPercentFor(isOwner bool, memory int64) int {
+	if isOwner && memory >= ownerGCMemory {
+		return ownerGCPercent
+	}
+	return gcPercent
+}
+
 // setMemoryLimit bounds the heap by a part of the process's memory limit, if there is one.
 func setMemoryLimit(bytes int64) {
 	if bytes > 0 {
