--- a/review/_standin3/minion.go
+++ b/review/_standin3/minion.go
@@ -26,6 +26,7 @@
 	id     uint64
 	began  time.Time
 	work   time.Duration
+	fails  bool
 	stopAt time.Time
 }
 
@@ -54,6 +55,8 @@
 	store                   *store
 	// workOf returns how long a task works.
 	workOf func(task string) time.Duration
+	// fails is set if the runs end failed, and not done, once they have worked.
+	fails bool
 	// onStart is called with each run that begins, onEnd with each that ends.
 	onStart func(start)
 	onEnd   func(m *minion, r *run, how string)
@@ -167,6 +170,8 @@
 			how = "lapsed"
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
 			how = "stopped"
+		case r.work > 0 && now.Sub(r.began) >= r.work && r.fails:
+			how = "failed"
 		case r.work > 0 && now.Sub(r.began) >= r.work:
 			how = "done"
 		default:
@@ -235,7 +240,7 @@
 		return
 	default:
 		m.extend(c.DeadlineMs)
-		m.active = append(m.active, &run{task: c.Task, id: c.RunID, began: time.Now(), work: m.workOf(c.Task)})
+		m.active = append(m.active, &run{task: c.Task, id: c.RunID, began: time.Now(), work: m.workOf(c.Task), fails: m.fails})
 		m.onStart(start{time.Now(), m.id, m.kind, m.born.UnixMilli(), c.Task, c.RunID, c.FencingToken})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"ClockMs": m.clock().Milliseconds()})
