--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -50,7 +50,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE FOLDER")
 		return notRun
 	}
-	cases := map[string]func(*env) (int, error){"label": playLabel, "lasting": playLasting, "failing": playFailing}
+	cases := map[string]func(*env) (int, error){"label": playLabel, "lasting": playLasting, "failing": playFailing, "volume": playVolume}
 	f := cases[os.Args[1]]
 	if f == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
