--- a/review/_standin3/minion.go
+++ b/review/_standin3/minion.go
@@ -77,7 +77,7 @@
 }
 
 func newMinion(id, service, zone, rack, kind string, s *store) *minion {
-	return &minion{id: id, service: service, zone: zone, rack: rack, kind: kind, store: s, addr: "127.0.0.1:0", onStart: func(start) {}, onEnd: func(*minion, *run, string) {}}
+	return &minion{id: id, service: service, zone: zone, rack: rack, kind: kind, store: s, addr: "127.0.78.1:0", onStart: func(start) {}, onEnd: func(*minion, *run, string) {}}
 }
 
 // start begins a lifetime of a kind. The entry is in the store before the minion answers any call.
