--- a/core/fleet/decision.go
+++ b/core/fleet/decision.go
@@ -32,6 +32,10 @@
 	EventNamed   = "queue is in the configuration again"
 	// EventRejected means that the store does not take the progress of a job.
 	EventRejected = "progress cannot be stored"
+	// EventIncarnation means that a worker has started again, as its answer or its entry shows,
+	// EventEntry that the list has its entry of an incarnation for the first time.
+	EventIncarnation = "worker has a new incarnation"
+	EventEntry       = "entry of a new incarnation"
 )
 
 // Decision is one decision for the log.
@@ -53,6 +57,8 @@
 	// LastEnd is the number of a run's end on its worker, or of the last of the ends that
 	// an acknowledgement covers from FirstEnd on; both are 0 for other decisions.
 	FirstEnd, LastEnd uint64
+	// Incarnation is the one of the worker that the decision goes by; zero if it goes by none.
+	Incarnation time.Time
 	// Count counts workers or tasks, and Workers names the first workers of them.
 	Count   int
 	Workers []core.WorkerID
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -51,6 +51,8 @@
 	Foreign int
 	// Heard is the time since the worker's last answer.
 	Heard string
+	// Incarnation is the worker's incarnation, Entry the one that its entry in the list is of.
+	Incarnation, Entry time.Time
 	// Taken is the number of the newest end handled, Acked that of the newest
 	// end acknowledged.
 	Taken, Acked uint64
@@ -99,6 +101,7 @@
 			Worker: w.id, State: workerChart.Name(w.state), Room: w.info.Capacity, Free: w.free, Tasks: len(w.tasks), Strays: len(w.orphans),
 			Usable: w.usable(), Recorded: w.inRoster, Unreached: w.unreached(), Hides: w.hidesEnds, Foreign: len(w.unknownRuns),
 			Leaving: w.info.Leaving, SetAside: s.now.Before(w.asideUntil), Heard: s.now.Sub(w.answeredAt).Round(time.Millisecond).String(),
+			Incarnation: w.info.Incarnation, Entry: w.entryIncarnation,
 			Taken: w.handledEnd, Acked: w.ackedEnd, Slow: w.slowness,
 		})
 	}
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -61,7 +61,7 @@
 	}
 	w.noteListLength(l)
 	w.incarnation = l.Incarnation
-	w.setIncarnation(l.Incarnation)
+	w.setIncarnation(l.Incarnation, "its answer names it")
 	leaseMayGoOn := w.leaseMayGoOn(l.Clock)
 	if w.answeredAt.IsZero() {
 		// An earlier owner may have granted a full lease just before this
@@ -109,16 +109,34 @@
 }
 
 // setIncarnation records the incarnation that the worker or the platform's list
-// reports. A new one is not in the stored roster yet.
-func (w *Worker) setIncarnation(incarnation time.Time) {
+// reports, and the reason. A new one is not in the stored roster yet.
+func (w *Worker) setIncarnation(incarnation time.Time, reason string) {
 	if w.info.Incarnation.Equal(incarnation) {
 		return
 	}
-	w.info.Incarnation = incarnation
+	w.info.Incarnation, w.incarnationSince = incarnation, w.scheduler.now
+	w.scheduler.logDecision(Decision{Event: EventIncarnation, Worker: w.id, Incarnation: incarnation, Reason: reason})
 	w.leaveQuorum()
 	w.changeRoster()
 }
 
+// setEntryIncarnation records the incarnation that the worker's entry is of.
+func (w *Worker) setEntryIncarnation(incarnation time.Time) {
+	if w.entryIncarnation.Equal(incarnation) {
+		return
+	}
+	isFirst := w.entryIncarnation.IsZero()
+	w.entryIncarnation = incarnation
+	if isFirst {
+		return
+	}
+	d := Decision{Event: EventEntry, Worker: w.id, Incarnation: incarnation, Reason: "the worker has not answered as it"}
+	if w.info.Incarnation.Equal(incarnation) {
+		d.Reason, d.Wait = "", w.scheduler.now.Sub(w.incarnationSince)
+	}
+	w.scheduler.logDecision(d)
+}
+
 // applyEnds handles the listed ends that are new. At the first end of an
 // unknown job it stops, until that job has been read or maxJobWait has passed.
 func (w *Worker) applyEnds(ends []EndedRun) {
--- a/core/fleet/start.go
+++ b/core/fleet/start.go
@@ -29,7 +29,7 @@
 		Kind: OrderStart, Worker: f.worker.id, Task: t.ID(), Run: run,
 		Payload: t.phase.job.Spec.Payload, Checkpoint: checkpoint, Ticket: f.ticket,
 	})
-	s.logDecision(Decision{Job: t.phase.id.Job, Event: EventPlaced, Worker: f.worker.id, Task: t.ID().String(), Run: run, Wait: s.now.Sub(t.phase.openedAt)})
+	s.logDecision(Decision{Job: t.phase.id.Job, Event: EventPlaced, Worker: f.worker.id, Task: t.ID().String(), Run: run, Wait: s.now.Sub(t.phase.openedAt), Incarnation: f.worker.info.Incarnation})
 }
 
 // StartAnswered handles the outcome of a start.
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -122,6 +122,11 @@
 	// missingSince is when the worker was first found missing.
 	listed       bool
 	missingSince time.Time
+	// entryIncarnation is the incarnation that the last usable entry was of; zero before the
+	// first one. What info holds of the worker but its Incarnation is from that entry.
+	entryIncarnation time.Time
+	// incarnationSince is when info.Incarnation became known; zero for the first one.
+	incarnationSince time.Time
 	// entryUnusable is set while the worker's entry in the list cannot be used. What
 	// the last usable one said of the worker holds on, but nothing is placed on it.
 	entryUnusable bool
@@ -269,8 +274,9 @@
 		if !w.info.Incarnation.Equal(info.Incarnation) {
 			w.noteEnded()
 		}
-		w.setIncarnation(info.Incarnation)
+		w.setIncarnation(info.Incarnation, "its entry names it")
 	}
+	w.setEntryIncarnation(info.Incarnation)
 	// The incarnation that the worker itself reports is newer than the list.
 	info.Incarnation = w.info.Incarnation
 	w.info = info
--- a/io/owner/decisions.go
+++ b/io/owner/decisions.go
@@ -11,7 +11,7 @@
 )
 
 // maxDecisionFields is how many fields a decision has at most.
-const maxDecisionFields = 13
+const maxDecisionFields = 14
 
 // logDecisions logs what the scheduler has decided since the last call.
 func (o *Owner) logDecisions() {
@@ -48,6 +48,9 @@
 	if d.FirstEnd > 0 {
 		f = append(f, logbuf.Number("from", d.FirstEnd))
 	}
+	if !d.Incarnation.IsZero() {
+		f = append(f, logbuf.Number("incarnation", uint64(d.Incarnation.UnixMilli())))
+	}
 	if d.Job != "" {
 		f = append(f, logbuf.Text("job", d.Job))
 	}
--- a/io/owner/decisions_test.go
+++ b/io/owner/decisions_test.go
@@ -19,7 +19,7 @@
 
 // frequentDecisions are the decisions of which an owner logs the most.
 var frequentDecisions = []fleet.Decision{
-	{Event: "placed", Epoch: 3, Confirmed: 65 * time.Millisecond, Job: "caafae8dad7ad37b", Task: "caafae8dad7ad37b.0.0.3", Worker: "i-4df529dea4", Run: 1, Wait: 175 * time.Millisecond},
+	{Event: "placed", Epoch: 3, Confirmed: 65 * time.Millisecond, Job: "caafae8dad7ad37b", Task: "caafae8dad7ad37b.0.0.3", Worker: "i-4df529dea4", Run: 1, Wait: 175 * time.Millisecond, Incarnation: time.UnixMilli(1796660343319)},
 	{Event: "run ended done", Epoch: 3, Confirmed: 65 * time.Millisecond, Job: "caafae8dad7ad37b", Task: "caafae8dad7ad37b.0.0.3", Worker: "i-4df529dea4", Run: 1, LastEnd: 58},
 	{Event: "ends acknowledged", Epoch: 3, Confirmed: 65 * time.Millisecond, Worker: "i-4df529dea4", FirstEnd: 58, LastEnd: 61},
 	{Event: "advice received", Epoch: 3, Confirmed: 65 * time.Millisecond, Job: "caafae8dad7ad37b", Task: "caafae8dad7ad37b.0.0", Reason: "86 of 128 workers allowed, tickets valid for 1.5s", Wait: 540 * time.Millisecond},
@@ -29,7 +29,7 @@
 func TestDecisionLine(t *testing.T) {
 	is := is.New(t)
 	want := []string{
-		`{"after":"175ms","confirmed":"65ms","epoch":3,"job":"caafae8dad7ad37b","level":"info","msg":"placed","part":"owner","run":1,"task":"caafae8dad7ad37b.0.0.3","time":"06:01:02.003","vm":"edge-ktm-patan-3","worker":"i-4df529dea4"}`,
+		`{"after":"175ms","confirmed":"65ms","epoch":3,"incarnation":1796660343319,"job":"caafae8dad7ad37b","level":"info","msg":"placed","part":"owner","run":1,"task":"caafae8dad7ad37b.0.0.3","time":"06:01:02.003","vm":"edge-ktm-patan-3","worker":"i-4df529dea4"}`,
 		`{"confirmed":"65ms","end":58,"epoch":3,"job":"caafae8dad7ad37b","level":"info","msg":"run ended done","part":"owner","run":1,"task":"caafae8dad7ad37b.0.0.3","time":"06:01:02.003","vm":"edge-ktm-patan-3","worker":"i-4df529dea4"}`,
 		`{"confirmed":"65ms","epoch":3,"from":58,"level":"info","msg":"ends acknowledged","part":"owner","time":"06:01:02.003","to":61,"vm":"edge-ktm-patan-3","worker":"i-4df529dea4"}`,
 		`{"after":"540ms","because":"86 of 128 workers allowed, tickets valid for 1.5s","confirmed":"65ms","epoch":3,"job":"caafae8dad7ad37b","level":"info","msg":"advice received","part":"owner","task":"caafae8dad7ad37b.0.0","time":"06:01:02.003","vm":"edge-ktm-patan-3"}`,
--- a/io/owner/orders.go
+++ b/io/owner/orders.go
@@ -196,6 +196,9 @@
 // outcomeFields returns a log entry with the fields of an outcome. Most outcomes have no line.
 func (o *Owner) outcomeFields(ord fleet.Order, out outcome) *logrus.Entry {
 	f := logrus.Fields{"worker": ord.Worker, "epoch": ord.Epoch, "sent": ageText(out.delay), "after": ageText(out.took), "reply": out.reply.String()}
+	if !ord.Info.Incarnation.IsZero() {
+		f["incarnation"] = ord.Info.Incarnation.UnixMilli()
+	}
 	if ord.Kind != fleet.OrderHeartbeat {
 		f["job"], f["task"], f["run"] = ord.Task.Job, ord.Task.String(), ord.Run
 	}
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -23,7 +23,7 @@
 const timeLayout = "15:04:05.000"
 
 // printedFields are the fields that String prints, in this order.
-var printedFields = []string{"result", "queue", "task", "run", "worker", "end", "from", "to", "epoch", "confirmed", "sent", "after", "reply", "because", "class", "estimate", "wait", "slack", "age", "took", "error"}
+var printedFields = []string{"result", "queue", "task", "run", "worker", "incarnation", "end", "from", "to", "epoch", "confirmed", "sent", "after", "reply", "because", "class", "estimate", "wait", "slack", "age", "took", "error"}
 
 // endEvents are the messages that log the end of a job.
 var endEvents = core.NewSet(fleet.EndEvent(jobs.Completed), fleet.EndEvent(jobs.Failed), fleet.EndEvent(jobs.Cancelled))
