TestRandomSuspensions dates the calls of a suspended owner by that owner's clock

The play moved the sending time of a call in flight by one tick too few, and delivered the first answers after a suspension before the owner's clock stood back. The answer to a heartbeat then counted as that to an earlier one, which no clock of a process can show, and no other heartbeat was sent to that worker for the rest of the play: jobs there did not end.

--- a/core/fleet/suspend_test.go
+++ b/core/fleet/suspend_test.go
@@ -59,28 +59,28 @@
 // deliverOrders implements network. Answers wait for a suspended owner, and its timers stand
 // still.
 func (p *suspensionPlay) deliverOrders(o *simOwner) {
-	if p.isSuspended(o) {
+	if s, ok := p.suspensions[o]; ok && !o.stopped {
 		for _, c := range p.inFlight[o] {
 			if !c.held {
 				c.sentAt = c.sentAt.Add(tickInterval)
 			}
-			if c.state == callAnswered && !p.now.Before(c.until) {
+			if p.isSuspended(o) && c.state == callAnswered && !p.now.Before(c.until) {
 				c.until = p.now.Add(tickInterval)
 			}
 		}
+		// The clock by which the first answers afterwards are dated has not counted the suspension.
+		if !p.isSuspended(o) {
+			p.resume(o, s)
+		}
 	}
 	p.splitPlay.deliverOrders(o)
 }
 
 // writeBatch implements network.
 func (p *suspensionPlay) writeBatch(o *simOwner) {
-	if p.isSuspended(o) {
-		return
-	}
-	if s, ok := p.suspensions[o]; ok {
-		p.resume(o, s)
+	if !p.isSuspended(o) {
+		p.splitPlay.writeBatch(o)
 	}
-	p.splitPlay.writeBatch(o)
 }
 
 // reachesStore implements network.
