Place tasks on a worker only by its entry of the incarnation that answers

Cause: an owner learned of a new incarnation from the worker's answer, while the service, the labels, the room and the place that it knew were those of the entry that the last reading of the list had found, of the former incarnation. Nothing compared the two.

The owner now notes of which incarnation an entry is, and places nothing on a worker while another one answers. It works for all that comes from the entry, and for an entry that is read before its incarnation has answered.

TestEntryOfFormerIncarnation (label, service, room, leaving) and TestEntryOfLaterIncarnation failed before.

--- a/core/fleet/incarnation_test.go
+++ b/core/fleet/incarnation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"chicoryturn/core"
 	"chicoryturn/core/fleet"
 )
 
@@ -38,3 +39,64 @@
 		is.Equal(d.Wait, want[i].wait)
 	}
 }
+
+// TestEntryOfFormerIncarnation guards against a task that starts on a restarted worker by the label,
+// the service, the room or the state of its former incarnation, of which the list still has the entry.
+func TestEntryOfFormerIncarnation(t *testing.T) {
+	for name, change := range map[string]func(*fleet.WorkerInfo){
+		"label":   func(info *fleet.WorkerInfo) { info.Labels = []string{"b"} },
+		"service": func(info *fleet.WorkerInfo) { info.Service = "other" },
+		"room":    func(info *fleet.WorkerInfo) { info.Capacity = core.Resources{Cores: 500, Memory: 500} },
+		"leaving": func(info *fleet.WorkerInfo) { info.Leaving = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, 1)
+			f.workers[0].Labels = []string{"a"}
+			f.registerWorkers()
+			job := newJob("j", 1, false)
+			job.Phases[0].Label = "a"
+			restart := func() fleet.WorkerInfo {
+				f.advance(time.Second)
+				info := f.workers[0]
+				info.Incarnation = f.now
+				f.heartbeat(info, nil, nil)
+				f.RosterStored(f.Roster())
+				return info
+			}
+			other := restart()
+			f.Accept(f.now, job)
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0) // the list has the former entry
+			f.SetWorkers(f.now, f.list(f.workers))
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0) // still
+			change(&other)
+			f.SetWorkers(f.now, f.list([]fleet.WorkerInfo{other}))
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0) // this incarnation is another kind
+			same := restart()
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+			f.SetWorkers(f.now, f.list([]fleet.WorkerInfo{same}))
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), 1)
+		})
+	}
+}
+
+// TestEntryOfLaterIncarnation guards against a task that is placed by the entry of an incarnation that
+// has not answered yet, under the name of the one before it.
+func TestEntryOfLaterIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 1)
+	f.registerWorkers()
+	later := f.workers[0]
+	later.Incarnation, later.Labels = f.now.Add(time.Second), []string{"a"}
+	f.advance(1100 * time.Millisecond)
+	f.SetWorkers(f.now, f.list([]fleet.WorkerInfo{later}))
+	job := newJob("j", 1, false)
+	job.Phases[0].Label = "a"
+	f.Accept(f.now, job)
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+	f.heartbeat(later, nil, nil)
+	f.RosterStored(f.Roster())
+	starts := f.nextOrders(fleet.OrderStart)
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Info.Incarnation, later.Incarnation)
+}
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestNewIncarnation checks that an owner uses a restarted worker only once its new
-// incarnation is in the stored roster.
+// incarnation is in the stored roster and its entry of that incarnation has been read.
 func TestNewIncarnation(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 1)
@@ -29,13 +29,15 @@
 	f.RosterStored(oldRoster, oldVersion) // this write was in flight during the restart
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
 	f.RosterStored(f.Roster())
+	is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+	f.SetWorkers(f.now, f.list([]fleet.WorkerInfo{restarted}))
 	is.Equal(len(f.nextOrders(fleet.OrderStart)), 1)
 }
 
 // TestNewIncarnationBeforeFirstAnswer checks a worker that restarts after it was listed
 // and stored in the roster, and before it has answered this owner. The owner learns of
 // the new incarnation from the worker's answer or from the list, and uses it only once
-// it is in the stored roster.
+// it is in the stored roster and its entry has been read.
 func TestNewIncarnationBeforeFirstAnswer(t *testing.T) {
 	for name, listed := range map[string]bool{"in its answer": false, "in the list": true} {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +56,11 @@
 			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
 			is.Equal(f.roster()[0].Incarnation, restarted.Incarnation)
 			f.RosterStored(f.Roster())
-			is.Equal(len(f.nextOrders(fleet.OrderStart)), 1)
+			is.Equal(len(f.nextOrders(fleet.OrderStart)) > 0, listed)
+			if !listed {
+				f.SetWorkers(f.now, f.list([]fleet.WorkerInfo{restarted}))
+				is.Equal(len(f.nextOrders(fleet.OrderStart)), 1)
+			}
 		})
 	}
 }
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -387,7 +387,13 @@
 	return end
 }
 
+// hasCurrentEntry reports whether the list has a usable entry of the incarnation that answers. One of
+// another incarnation tells nothing of the service, the labels, the room or the place of this one.
+func (w *Worker) hasCurrentEntry() bool {
+	return w.listed && !w.entryUnusable && w.entryIncarnation.Equal(w.info.Incarnation)
+}
+
 // usable reports whether tasks may be placed on the worker.
 func (w *Worker) usable() bool {
-	return w.state == workerLive && w.listed && !w.entryUnusable && !w.evacuated && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
+	return w.state == workerLive && w.hasCurrentEntry() && !w.evacuated && w.inRoster && !w.info.Leaving && len(w.unknownRuns) == 0 && !w.scheduler.now.Before(w.asideUntil)
 }
