Send a start only on a connection on which its incarnation has answered

Callers' tasks could start on a worker of another kind, room or service than the one they were placed on: a worker that restarts between the decision and the sending, before a heartbeat fails, keeps its ID and its address, and has seen no fence and no run. Nothing in the start kept the later incarnation from carrying it out.

A connection ends with the incarnation that has accepted it. An answer of another incarnation proves that the former one has ended.

--- a/core/fleet/faults_test.go
+++ b/core/fleet/faults_test.go
@@ -1,7 +1,15 @@
 package fleet_test
 
 import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chicoryturn/core"
 	"chicoryturn/core/jobs"
+	"chicoryturn/core/model"
 )
 
 // injectFault injects a fault of a worker or a change of owner in one of about 40 ticks.
@@ -12,7 +20,7 @@
 		w.Crash(h.now)
 	case 1:
 		if !w.Up {
-			w.Restart(h.now)
+			h.restart(w)
 		}
 	case 2:
 		w.Unreachable = true
@@ -28,17 +36,26 @@
 	case 7, 8, 9:
 		// The worker restarts so quickly that no list shows it.
 		if w.Up {
-			w.Restart(h.now)
+			h.restart(w)
 		}
 	}
 }
 
+// restart starts a new incarnation of a worker, of the next kind if the worker has several.
+func (h *harness) restart(w *model.Worker) {
+	if kinds := h.kinds[w]; len(kinds) > 0 {
+		next := (slices.Index(kinds, w.Info.Labels[0]) + 1) % len(kinds)
+		w.Info.Labels = []string{kinds[next]}
+	}
+	w.Restart(h.now)
+}
+
 func (h *harness) endFaults() {
 	h.lossRate = 0
 	for _, w := range h.workers {
 		w.Unreachable = false
 		if !w.Up {
-			w.Restart(h.now)
+			h.restart(w)
 		}
 	}
 	if h.currentOwner().stopped {
@@ -79,3 +96,39 @@
 		}
 	}
 }
+
+// TestRandomKinds guards against tasks that start on an incarnation of a worker without their label,
+// in plays of playFaults in which two of six workers change their kind with each restart.
+func TestRandomKinds(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, seed, 6, core.Resources{})
+			kinds := []string{"a", "b"}
+			h.kinds = map[*model.Worker][]string{h.workers[4]: kinds, h.workers[5]: kinds}
+			for i, w := range h.workers {
+				w.Info.Labels = []string{kinds[i%2]}
+			}
+			const jobCount = 25
+			h.playFaults(seed, jobCount, func(tick int, next *jobs.Spec) {
+				if next == nil {
+					return
+				}
+				for i := range next.Phases {
+					next.Phases[i].Label = append(kinds, "")[(tick+i)%3]
+				}
+				h.submit(*next)
+			})
+			for _, w := range h.workers {
+				for _, r := range w.Log {
+					label := h.specs[r.Task.Job].Phases[r.Task.Phase].Label
+					if label != "" && !slices.Contains(r.Labels, label) {
+						t.Errorf("ROUTE: run %d of %s, which needs the label %s, started on %s of kind %v at %s", r.Run, r.Task, label, r.Worker, r.Labels, r.At.Sub(startTime))
+					}
+				}
+			}
+			h.checkCompleted(is, jobCount)
+		})
+	}
+}
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -402,9 +402,9 @@
 	s.needsPlacement = true
 }
 
-// IncarnationEnded handles an answer of another worker to an order that was sent to the
-// address and incarnation in sent: that incarnation has ended, since a port is bound by
-// one process at a time. If the worker has another address or incarnation by now, the
+// IncarnationEnded handles an answer of another worker, or of another incarnation of the worker, to an
+// order that was sent to the address and incarnation in sent: that incarnation has ended, since a
+// port is bound by one process at a time. If the worker has another address or incarnation by now, the
 // answer says nothing of it.
 func (s *Scheduler) IncarnationEnded(now time.Time, sent WorkerInfo) {
 	s.now = now
--- a/core/fleet/model_test.go
+++ b/core/fleet/model_test.go
@@ -105,6 +105,8 @@
 	maxSkew time.Duration
 	// memory is the memory limit of an owner; 0 means none.
 	memory int64
+	// kinds holds the kinds of the workers that change theirs with each restart.
+	kinds map[*model.Worker][]string
 	// lossRate is the share of orders whose answer is lost, delayRate the share of
 	// those orders that are also executed seconds late.
 	lossRate, delayRate float64
@@ -339,6 +341,9 @@
 	switch kind := sent.order.Kind; {
 	case w.Info.ID() != sent.order.Worker:
 		return fleet.RunLists{}, fleet.ReplyOtherIncarnation
+	case kind == fleet.OrderStart && !sent.order.Info.Incarnation.Equal(w.Info.Incarnation):
+		// The client sends no start on a connection of another incarnation.
+		return fleet.RunLists{}, fleet.ReplyOtherIncarnation
 	case kind == fleet.OrderStart:
 		return fleet.RunLists{}, w.Start(sent.order)
 	case kind == fleet.OrderStop:
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -25,7 +25,8 @@
 type Order struct {
 	Kind   OrderKind
 	Worker core.WorkerID
-	// Info holds the address and the incarnation of the worker.
+	// Info holds the address and the incarnation of the worker. A start must reach no other
+	// incarnation.
 	Info WorkerInfo
 	// Epoch fences off the orders of earlier owners.
 	Epoch core.Epoch
--- a/core/model/worker.go
+++ b/core/model/worker.go
@@ -58,6 +58,8 @@
 	Worker core.WorkerID
 	Task   jobs.TaskID
 	Run    uint64
+	// Labels are those of the incarnation that has started the run.
+	Labels []string
 	// Epoch is that of the order that started the run, AckedBy that of the order that
 	// acknowledged its end, 0 if none has.
 	Epoch, AckedBy core.Epoch
@@ -255,7 +257,7 @@
 		return fleet.ReplyLeaseExpired
 	}
 	w.active = append(w.active, &run{key: runKey{o.Task, o.Run}, startedAt: w.now})
-	w.Log = append(w.Log, &RunRecord{At: w.now, Worker: w.Info.ID(), Task: o.Task, Run: o.Run, Epoch: o.Epoch})
+	w.Log = append(w.Log, &RunRecord{At: w.now, Worker: w.Info.ID(), Task: o.Task, Run: o.Run, Labels: w.Info.Labels, Epoch: o.Epoch})
 	return fleet.ReplyOK
 }
 
