Expire the tickets for a worker that has a new incarnation

After a restart of a worker, callers' tasks that need advice were sent there with a ticket of its former incarnation: the worker refuses them, the owner then takes all tickets of the phase that expire no later for expired, and the tasks wait for another answer of the advisor.

A ticket is valid during one life of its worker, and the owner kept it by the worker's name. TestTicketOfFormerIncarnation shows a start with such a ticket on the code before, whether the owner learns of the restart from the worker's answer or from its answer to a start. The tickets for a worker now expire when it has a new incarnation or is gone, and the next request names it again.

--- a/core/fleet/advice.go
+++ b/core/fleet/advice.go
@@ -168,6 +168,15 @@
 	}
 }
 
+// expireTicketsOf marks the tickets for a worker as expired, since they are valid for one incarnation.
+func (s *Scheduler) expireTicketsOf(worker core.WorkerID) {
+	for _, p := range s.rooms.ticketed {
+		if t, ok := p.advice.allowed[worker]; ok {
+			p.advice.allowed[worker] = ticket{text: t.text}
+		}
+	}
+}
+
 // advisor returns the policy of the queue's placement advisor, if it has one.
 func (p *phase) advisor() core.Option[policy.Advisor] {
 	if g := p.group(); g != nil {
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -116,6 +116,7 @@
 	}
 	w.info.Incarnation, w.incarnationSince = incarnation, w.scheduler.now
 	w.scheduler.logDecision(Decision{Event: EventIncarnation, Worker: w.id, Incarnation: incarnation, Reason: reason})
+	w.scheduler.expireTicketsOf(w.id)
 	w.leaveQuorum()
 	w.changeRoster()
 }
--- a/core/fleet/incarnation_test.go
+++ b/core/fleet/incarnation_test.go
@@ -8,6 +8,7 @@
 
 	"chicoryturn/core"
 	"chicoryturn/core/fleet"
+	"chicoryturn/core/policy"
 )
 
 // TestRestartIsLogged guards against logs that don't tell whether a task was placed on a restarted
@@ -100,3 +101,51 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Info.Incarnation, later.Incarnation)
 }
+
+// TestTicketOfFormerIncarnation guards against a start that a restarted worker refuses, as its ticket
+// was valid for the former incarnation only; such a refusal ends the other tickets of the phase as well.
+func TestTicketOfFormerIncarnation(t *testing.T) {
+	for name, learn := range map[string]func(*fixture, fleet.WorkerInfo){
+		"its answer":            func(f *fixture, restarted fleet.WorkerInfo) { f.heartbeat(restarted, nil, nil) },
+		"its answer to a start": func(f *fixture, _ fleet.WorkerInfo) { f.IncarnationEnded(f.now, f.workers[0]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newAdvisedFixture(2, policy.Advisor{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, TicketTTL: 10 * time.Second})
+			job := newJob("j", 2, false)
+			job.Phases[0].Need.Cores = 3000 // one on each worker
+			f.Accept(f.now, job)
+			advise := func(ticket string) core.Set[core.WorkerID] {
+				f.nextOrders(fleet.OrderStart)
+				peers := &fakePeers{}
+				f.AdviceRequests(f.now, peers)
+				is.Equal(len(peers.requests), 1)
+				request := peers.requests[0]
+				var allowed []fleet.AllowedWorker
+				for _, w := range request.Workers {
+					allowed = append(allowed, fleet.AllowedWorker{Worker: w, Ticket: ticket})
+				}
+				f.AdviceReceived(f.now, request.Phase, request.Workers, allowed, 10*time.Second)
+				return core.NewSet(request.Workers...)
+			}
+			is.Equal(len(advise("old")), 2)
+			starts := f.nextOrders(fleet.OrderStart)
+			is.Equal(len(starts), 2)
+			f.confirmStarts(starts)
+
+			restarted := f.workers[0]
+			restarted.Incarnation = f.now
+			f.advance(100 * time.Millisecond)
+			learn(f, restarted)
+			f.SetWorkers(f.now, f.list([]fleet.WorkerInfo{restarted, f.workers[1]}))
+			f.RosterStored(f.Roster())
+			f.heartbeat(restarted, nil, nil)
+			is.Equal(len(f.nextOrders(fleet.OrderStart)), 0)
+			f.advance(100 * time.Millisecond)
+			is.Equal(advise("new"), core.NewSet(restarted.ID()))
+			starts = f.nextOrders(fleet.OrderStart)
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Ticket, "new")
+		})
+	}
+}
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -315,6 +315,7 @@
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *Worker) bool {
 		if w.state == workerGone {
 			delete(s.workers, w.id)
+			s.expireTicketsOf(w.id)
 			w.markHeard()
 			s.rosterVersion++
 		}
