Log no wait for an entry of the incarnation that was known from the start

An entry that named another incarnation for a while, as another writer may leave one, and is right again was logged with the time since the year 1 as its wait. TestOddEntryIsLogged failed before.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -133,7 +133,10 @@
 	}
 	d := Decision{Event: EventEntry, Worker: w.id, Incarnation: incarnation, Reason: "the worker has not answered as it"}
 	if w.info.Incarnation.Equal(incarnation) {
-		d.Reason, d.Wait = "", w.scheduler.now.Sub(w.incarnationSince)
+		d.Reason = ""
+		if !w.incarnationSince.IsZero() {
+			d.Wait = w.scheduler.now.Sub(w.incarnationSince)
+		}
 	}
 	w.scheduler.logDecision(d)
 }
--- a/core/fleet/incarnation_test.go
+++ b/core/fleet/incarnation_test.go
@@ -41,6 +41,24 @@
 	}
 }
 
+// TestOddEntryIsLogged guards against a wait without a beginning in the log, once an entry that has named
+// another incarnation for a while is right again.
+func TestOddEntryIsLogged(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 1)
+	f.registerWorkers()
+	odd := f.workers[0]
+	odd.Incarnation = f.now
+	f.Decisions()
+	for _, info := range []fleet.WorkerInfo{odd, f.workers[0]} {
+		f.SetWorkers(f.now, f.list([]fleet.WorkerInfo{info}))
+		got := f.Decisions()
+		is.Equal(len(got), 1)
+		is.Equal(got[0].Event, fleet.EventEntry)
+		is.Equal(got[0].Wait, time.Duration(0))
+	}
+}
+
 // TestEntryOfFormerIncarnation guards against a task that starts on a restarted worker by the label,
 // the service, the room or the state of its former incarnation, of which the list still has the entry.
 func TestEntryOfFormerIncarnation(t *testing.T) {
